--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -10,8 +10,8 @@
 	"io"
 	"os"
 
-	"honeywheel/internal/wire"
-	"honeywheel/rules"
+	"shaleyard/internal/wire"
+	"shaleyard/rules"
 )
 
 const bufferSize = 1 << 20
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"io"
 	"math"
 
-	"honeywheel/rules"
+	"shaleyard/rules"
 )
 
 // Codes of events.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"honeywheel/rules"
+	"shaleyard/rules"
 )
 
 func unhex(t testing.TB, s string) []byte {
--- a/rules/example_test.go
+++ b/rules/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"honeywheel/rules"
+	"shaleyard/rules"
 )
 
 // A dispatcher hands events to its router and carries out the actions. Here a request misses at a sibling
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,6 +1,6 @@
 package rules
 
-// All decisions of honeywheel. The interface (settings, events, actions) is in rules/api.go; the types of
+// All decisions of shaleyard. The interface (settings, events, actions) is in rules/api.go; the types of
 // what a router remembers are in state.go.
 //
 // Ordinary path (docs/design.md): a rendezvous hash of the object picks the edge cache; a bounded, ageing
