--- /dev/null
+++ b/cmd/shaleyard/main.go
@@ -0,0 +1,174 @@
+// Command shaleyard is a director: it takes clients' requests, asks edge caches, parents and the origin as
+// the decision module says, and answers each request once. This file holds what surrounds that: the
+// environment, the configuration, signals and the exit.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"shaleyard/internal/buffer"
+	"shaleyard/internal/caches"
+	"shaleyard/internal/clients"
+	"shaleyard/internal/config"
+	"shaleyard/internal/director"
+	"shaleyard/internal/feed"
+	"shaleyard/internal/loop"
+	"shaleyard/rules"
+)
+
+func main() {
+	if err := run(os.Getenv, os.Stderr); err != nil {
+		fmt.Fprintln(os.Stderr, "shaleyard:", err)
+		os.Exit(1)
+	}
+}
+
+// program is the parts, put together.
+type program struct {
+	log      *log.Logger
+	limits   *config.Limits
+	agenda   director.Agenda
+	clock    clock
+	pool     *buffer.Pool
+	director *director.Director
+	clients  *clients.Server
+	fleet    *caches.Fleet
+	feed     *feed.Follower
+	loop     *loop.Loop
+	started  rules.Time
+	stopping rules.Time // when SIGTERM came; 0: it has not
+	rejected uint64
+}
+
+// clock is the one clock: the system's Unix time, which every peer counts by, as the module's Time. It
+// never goes back, as the module's clock must not.
+type clock struct{ last rules.Time }
+
+func (c *clock) now() rules.Time {
+	c.last = max(c.last, rules.Time(time.Now().UnixNano()))
+	return c.last
+}
+
+func run(getenv func(string) string, logTo io.Writer) error {
+	c, err := config.Load(getenv)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(c.Limits.MemoryBytes)
+	// One more than the cores: the loop sits in the kernel's wait, and timers and dials must not wait for
+	// the runtime to notice that.
+	runtime.GOMAXPROCS(int(math.Ceil(c.Limits.Cores)) + 1)
+	p, err := assemble(c, logTo)
+	if err != nil {
+		return err
+	}
+	if err := p.feed.Replay(c.Known); err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	defer signal.Stop(signals)
+	p.loop.Boot = func() {
+		p.started = p.clock.now()
+		p.feed.Start()
+		go func() {
+			for s := range signals {
+				if s == syscall.SIGUSR1 {
+					p.loop.Do(p.report)
+				} else {
+					p.loop.Do(p.stop)
+				}
+			}
+		}()
+	}
+	p.log.Printf("%s listens on %s: %d descriptors, %d MB", c.Name, c.Listen, c.Limits.Descriptors,
+		c.Limits.MemoryBytes>>20)
+	err = p.loop.Run(c.Listen)
+	p.report()
+	return err
+}
+
+func assemble(c *config.Config, logTo io.Writer) (*program, error) {
+	p := &program{log: log.New(logTo, "", log.LstdFlags|log.Lmicroseconds), limits: &c.Limits}
+	l, s := p.limits, &c.Settings
+	p.pool = buffer.NewPool(l.BufferSize, l.BufferCount)
+	var err error
+	p.director, err = director.New(s, c.Seed, l.OpenRequests, &p.agenda, p.clock.now, p.log.Printf)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	p.loop = &loop.Loop{Agenda: &p.agenda, Now: p.clock.now, Front: front{p}, Rejected: p.reject}
+	p.fleet = caches.NewFleet(l, s, p.pool, p.loop, p.director, &p.agenda, p.clock.now)
+	p.director.Attach(p.fleet)
+	p.clients = clients.NewServer(l, s, p.pool, p.director, &p.agenda, p.clock.now)
+	p.clients.Ready = p.ready
+	p.feed = feed.New(l, s, c.Feed, p.loop, p.director, &p.agenda, p.clock.now, p.log.Printf)
+	return p, nil
+}
+
+// front hands accepted connections to the clients' server.
+type front struct{ p *program }
+
+func (f front) Accept(c gnet.Conn) loop.Session {
+	if s := f.p.clients.Accept(c); s != nil {
+		return s
+	}
+	return nil
+}
+
+// ready tells whether the front may send clients here: the feed is up, or has been waited for, and no stop
+// has been asked for.
+func (p *program) ready() bool {
+	return p.stopping == 0 && (p.feed.Connected() || p.clock.now()-p.started > p.limits.FeedWait)
+}
+
+func (p *program) reject(reason error) {
+	p.rejected++
+	p.log.Printf("connection closed: %v", reason)
+}
+
+// stop begins a planned stop. Connections and requests are taken a while longer, as the front hears of it
+// late; the program ends when all that was taken is answered and read.
+func (p *program) stop() {
+	if p.stopping != 0 {
+		return
+	}
+	p.stopping = p.clock.now()
+	p.log.Printf("stopping: %d requests open", p.director.Open())
+	p.agenda.At(p.stopping+p.limits.DrainAccept, p.drained)
+}
+
+func (p *program) drained() {
+	now := p.clock.now()
+	if (p.director.Open() == 0 && p.clients.Unsent() == 0) || now-p.stopping > p.limits.DrainMost {
+		p.loop.Stop()
+		return
+	}
+	p.agenda.At(now+5*time.Millisecond, p.drained)
+}
+
+// report writes all counters as one line.
+func (p *program) report() {
+	text, err := json.Marshal(map[string]any{
+		"clients": p.clients.Counters, "director": p.director.Counters, "caches": p.fleet.Counters,
+		"feed": p.feed.Counters, "rejected": p.rejected, "open": p.director.Open(),
+		"client_conns": p.clients.Conns(), "peer_conns": p.fleet.Conns(), "buffers": p.pool.Lent(),
+	})
+	if err != nil {
+		p.log.Printf("counters: %v", err)
+		return
+	}
+	p.log.Printf("counters %s", text)
+}
--- /dev/null
+++ b/internal/caches/caches.go
@@ -0,0 +1,521 @@
+// Package caches speaks with caches, parents and the origin: RESP arrays over connections that carry many
+// attempts each. It opens connections as they are needed and tells exactly how each attempt ended.
+package caches
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"shaleyard/internal/buffer"
+	"shaleyard/internal/config"
+	"shaleyard/internal/director"
+	"shaleyard/rules"
+)
+
+// Conn is a dialled connection as the event loop gives it. A write never blocks; what the socket does not
+// take at once is kept and counted by OutboundBuffered.
+type Conn interface {
+	Writev([][]byte) (int, error)
+	OutboundBuffered() int
+	Close() error
+}
+
+// Stream is what the event loop hands a dialled connection's life to, all on the loop. Opened or Failed
+// comes once; Closed follows Opened.
+type Stream interface {
+	Opened(Conn)
+	Failed(error)
+	Data([]byte) error
+	Closed()
+}
+
+// Dialer opens connections without blocking the loop, within a time limit.
+type Dialer interface {
+	Dial(address string, limit time.Duration, s Stream)
+}
+
+// Ender takes the ends of attempts; it is the director.
+type Ender interface {
+	Ended(director.Handle, director.Ending)
+}
+
+// Counters count what passed between the director and its peers.
+type Counters struct {
+	Dials, DialsFailed, Closed, Idle, Restarted  uint64
+	Sent, Stopped, Answers, Late                 uint64
+	BadStream, BadAnswer, Backlogged, NoPeer     uint64
+	BytesIn, BytesOut, SilentConns, DescriptorsU uint64
+}
+
+// Fleet holds the connections to all peers.
+type Fleet struct {
+	Counters Counters
+
+	limits *config.Limits
+	fields []string // of load reports, by the settings' names
+	pool   *buffer.Pool
+	dialer Dialer
+	ender  Ender
+	agenda *director.Agenda
+	now    func() rules.Time
+	peers  map[rules.Host]*peer
+	calls  map[director.Handle]*call
+	conns  *director.Table[*conn]
+	head   []byte
+	iov    [][]byte
+}
+
+// peer is a member under its name. A new one at an old address is another peer, with connections of its own.
+type peer struct {
+	host    rules.Host
+	name    string
+	address string
+	started rules.Time
+	conns   []*conn
+	left    bool
+}
+
+// conn is a connection: being dialled while link is nil.
+type conn struct {
+	f      *Fleet
+	p      *peer
+	handle director.Handle
+	link   Conn
+	parser parser
+	open   map[string]*call
+	line   []*call               // wait until it is up
+	ghosts map[string]rules.Time // given up here; an answer may still cross
+	heard  rules.Time
+	silent bool // takes no new attempts
+	closed bool
+	idle   director.Entry
+}
+
+// call is an attempt on a connection.
+type call struct {
+	h       director.Handle
+	id      string
+	c       *conn
+	at      rules.Time
+	written bool
+	known   bool
+	frame   func() // writes it, once the connection is up
+}
+
+// NewFleet returns a fleet without members. Attempts' ends go to the ender.
+func NewFleet(l *config.Limits, s *rules.Settings, pool *buffer.Pool, d Dialer, e Ender, a *director.Agenda,
+	now func() rules.Time) *Fleet {
+	return &Fleet{limits: l, fields: s.Report.Fields, pool: pool, dialer: d, ender: e, agenda: a, now: now,
+		peers: map[rules.Host]*peer{}, calls: map[director.Handle]*call{},
+		conns: director.NewTable[*conn](l.PeerConns)}
+}
+
+// Conns is the number of connections held or being opened.
+func (f *Fleet) Conns() int { return f.conns.Len() }
+
+// Join takes a member in, or learns of its new address or life. What is open to an old life is closed: its
+// process is gone, and a vanished machine would never say so.
+func (f *Fleet) Join(host rules.Host, name, address string, started rules.Time) {
+	p := f.peers[host]
+	if p == nil {
+		f.peers[host] = &peer{host: host, name: name, address: address, started: started}
+		return
+	}
+	p.left = false
+	if p.address == address && p.started == started {
+		return
+	}
+	p.address, p.started = address, started
+	f.Counters.Restarted++
+	for _, c := range append([]*conn(nil), p.conns...) {
+		c.shut()
+	}
+}
+
+// Leave lets a member that has gone finish what it has and then closes its connections.
+func (f *Fleet) Leave(host rules.Host) {
+	p := f.peers[host]
+	if p == nil {
+		return
+	}
+	p.left = true
+	for _, c := range append([]*conn(nil), p.conns...) {
+		c.rest()
+	}
+	if len(p.conns) == 0 {
+		delete(f.peers, host)
+	}
+}
+
+// Send starts an attempt on a connection that has room, or on a new one.
+func (f *Fleet) Send(h director.Handle, to rules.Host, q director.Call) {
+	p := f.peers[to]
+	if p == nil {
+		f.Counters.NoPeer++
+		f.ender.Ended(h, director.Ending{Result: rules.ConnectFailed})
+		return
+	}
+	c := p.pick(q.Request.Ref)
+	if c == nil {
+		if c = f.dial(p); c == nil {
+			f.Counters.DescriptorsU++
+			f.ender.Ended(h, director.Ending{Result: rules.ConnectFailed})
+			return
+		}
+	}
+	k := &call{h: h, id: q.Request.Ref, c: c, at: f.now(), known: q.Request.Known != ""}
+	until := k.at + q.Patience
+	k.frame = func() { f.write(k, q, until) }
+	f.calls[h] = k
+	c.open[k.id] = k
+	f.agenda.Drop(&c.idle)
+	if c.link == nil {
+		c.line = append(c.line, k)
+		return
+	}
+	k.frame()
+}
+
+// pick is the peer's first connection with room: attempts gather on few connections, as each costs the peer
+// a place. One on which the same id was given up is passed over, as its late answer could not be told apart.
+func (p *peer) pick(id string) *conn {
+	for _, c := range p.conns {
+		if _, taken := c.open[id]; taken || c.silent || c.closed || len(c.open) >= c.f.limits.StreamsPerConn {
+			continue
+		}
+		if _, ghost := c.ghosts[id]; ghost {
+			continue
+		}
+		if c.link != nil && c.link.OutboundBuffered() > c.f.limits.PeerBacklog {
+			c.f.Counters.Backlogged++
+			continue
+		}
+		return c
+	}
+	return nil
+}
+
+func (f *Fleet) dial(p *peer) *conn {
+	c := &conn{f: f, p: p, open: map[string]*call{}, ghosts: map[string]rules.Time{}}
+	c.parser = parser{pool: f.pool, mostFields: f.limits.AnswerFields, mostBody: f.limits.AnswerBody}
+	h, ok := f.conns.Add(c)
+	if !ok {
+		return nil
+	}
+	c.handle = h
+	p.conns = append(p.conns, c)
+	f.Counters.Dials++
+	f.dialer.Dial(p.address, f.limits.ConnectTimeout, c)
+	return c
+}
+
+// write puts an attempt on its connection. From here on it may run.
+func (f *Fleet) write(k *call, q director.Call, until rules.Time) {
+	r := q.Request
+	b := appendBulk(appendBulk(appendArray(f.head[:0], 4), "REQ"), r.Ref)
+	fields := appendFields(nil, q, until-f.now())
+	b = append(append(appendLen(b, len(fields)), fields...), "\r\n"...)
+	b = appendLen(b, r.Body.Len())
+	iov := append(f.iov[:0], b)
+	iov = append(r.Body.Segments(iov), []byte("\r\n"))
+	f.head, f.iov = b, iov
+	k.written = true
+	f.Counters.Sent++
+	for _, p := range iov {
+		f.Counters.BytesOut += uint64(len(p))
+	}
+	if _, err := k.c.link.Writev(iov); err != nil {
+		k.c.lost()
+	}
+}
+
+var howWords = [...]string{"share", "peek", "pass", "swr"}
+
+// appendFields builds the FIELDS of a request.
+func appendFields(b []byte, q director.Call, patience time.Duration) []byte {
+	r := q.Request
+	b = append(append(b, "sort="...), r.Service...)
+	b = append(append(b, ",asset="...), r.Object...)
+	b = append(append(b, ",slice="...), r.Part...)
+	b = strconv.AppendInt(append(b, ",patience="...), int64(max(1, patience/time.Millisecond)), 10)
+	if q.Up != "" {
+		b = append(append(b, ",up="...), q.Up...)
+	}
+	if q.Keep > 0 {
+		b = strconv.AppendInt(append(b, ",store="...), int64(q.Keep), 10)
+	}
+	if q.MaxAge > 0 { // a part of a millisecond less is on the safe side of a purge
+		b = strconv.AppendInt(append(b, ",cap="...), int64(max(1, q.MaxAge/time.Millisecond)), 10)
+	}
+	if q.How != 0 {
+		sep := ",do="
+		for i, w := range howWords {
+			if q.How&(1<<i) != 0 {
+				b = append(append(b, sep...), w...)
+				sep = "+"
+			}
+		}
+	}
+	if r.Known != "" {
+		b = append(append(b, ",inm="...), r.Known...)
+	}
+	return b
+}
+
+// Stop gives an attempt up. Where some of it was written the peer is told, and what it may still answer is
+// dropped.
+func (f *Fleet) Stop(h director.Handle) (written bool) {
+	k := f.calls[h]
+	if k == nil {
+		return true // it has ended some other way: nothing can be proven here
+	}
+	f.drop(k)
+	c := k.c
+	if !k.written {
+		c.rest()
+		return false
+	}
+	f.Counters.Stopped++
+	c.ghost(k.id)
+	if !c.closed {
+		b := appendBulk(appendBulk(appendArray(f.head[:0], 2), "STOP"), k.id)
+		f.head = b
+		if _, err := c.link.Writev([][]byte{b}); err != nil {
+			c.lost()
+		}
+	}
+	c.rest()
+	return true
+}
+
+// ghostLife is how long an answer that crosses a STOP is looked out for.
+const ghostLife = 5 * time.Second
+
+func (c *conn) ghost(id string) {
+	now := c.f.now()
+	if len(c.ghosts) >= 4*c.f.limits.StreamsPerConn {
+		for g, at := range c.ghosts {
+			if now-at > ghostLife {
+				delete(c.ghosts, g)
+			}
+		}
+		if len(c.ghosts) >= 4*c.f.limits.StreamsPerConn {
+			c.silent = true // gives up so much that it can't be told apart: let it run dry
+			return
+		}
+	}
+	c.ghosts[id] = now
+}
+
+// Suspect tells that an attempt got no answer in time. Where its connection has been silent all along, the
+// machine may have vanished without a word: new attempts go over a new connection, which then fails and
+// proves that they never ran.
+func (f *Fleet) Suspect(h director.Handle) {
+	if k := f.calls[h]; k != nil && k.written && k.c.heard <= k.at && !k.c.silent {
+		k.c.silent = true
+		f.Counters.SilentConns++
+	}
+}
+
+func (f *Fleet) drop(k *call) {
+	delete(f.calls, k.h)
+	if k.c.open[k.id] == k {
+		delete(k.c.open, k.id)
+	}
+}
+
+// Opened is the end of a dial. What was given up meanwhile is not sent.
+func (c *conn) Opened(link Conn) {
+	c.link, c.heard = link, c.f.now()
+	if c.closed {
+		link.Close()
+		return
+	}
+	line := c.line
+	c.line = nil
+	for _, k := range line {
+		if c.open[k.id] == k && !c.closed {
+			k.frame()
+		}
+	}
+	c.rest()
+}
+
+// Failed is the other end of a dial: nothing that waited for it has run.
+func (c *conn) Failed(error) {
+	c.f.Counters.DialsFailed++
+	c.gone(rules.ConnectFailed)
+}
+
+// Closed is the end of a connection: what was written may have run.
+func (c *conn) Closed() {
+	if !c.closed {
+		c.f.Counters.Closed++
+	}
+	c.gone(rules.Reset)
+}
+
+// lost ends a connection whose socket has failed under a write.
+func (c *conn) lost() { c.gone(rules.Reset) }
+
+// shut closes a connection from our side; what is open on it is given up.
+func (c *conn) shut() {
+	if link := c.link; link != nil && !c.closed {
+		link.Close()
+	}
+	c.gone(rules.Reset)
+}
+
+func (c *conn) gone(result rules.Result) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	f := c.f
+	f.agenda.Drop(&c.idle)
+	f.conns.Remove(c.handle)
+	c.parser.release()
+	for i, o := range c.p.conns {
+		if o == c {
+			c.p.conns = append(c.p.conns[:i], c.p.conns[i+1:]...)
+			break
+		}
+	}
+	if c.p.left && len(c.p.conns) == 0 && f.peers[c.p.host] == c.p {
+		delete(f.peers, c.p.host)
+	}
+	for _, k := range c.open {
+		r := result
+		if !k.written {
+			r = rules.ConnectFailed
+		}
+		f.drop(k)
+		f.ender.Ended(k.h, director.Ending{Result: r})
+	}
+}
+
+// rest closes a connection that has nothing open: at once where it is not to be used again, else after the
+// idle time.
+func (c *conn) rest() {
+	if len(c.open) > 0 || c.closed {
+		return
+	}
+	if c.silent || c.p.left {
+		c.shut()
+		return
+	}
+	c.f.agenda.Set(&c.idle, c.f.now()+c.f.limits.PeerIdle, func() {
+		c.f.Counters.Idle++
+		c.shut()
+	})
+}
+
+// Data takes what has come in. An error closes the connection.
+func (c *conn) Data(b []byte) error {
+	c.f.Counters.BytesIn += uint64(len(b))
+	c.heard = c.f.now()
+	err := c.parser.feed(b, c.take)
+	if c.closed {
+		c.parser.release() // closed by what an answer brought about, with the next one begun
+	}
+	if err != nil {
+		c.f.Counters.BadStream++
+		return fmt.Errorf("%s: %w", c.p.name, err)
+	}
+	return nil
+}
+
+// take matches an answer to its attempt.
+func (c *conn) take(a answer) {
+	f := c.f
+	k := c.open[a.id]
+	if k == nil || !k.written {
+		f.Counters.Late++
+		delete(c.ghosts, a.id)
+		a.body.Release()
+		return
+	}
+	f.Counters.Answers++
+	f.drop(k)
+	e, err := f.ending(a, k)
+	if err != nil {
+		f.Counters.BadAnswer++
+		a.body.Release()
+		e = director.Ending{Result: rules.Errored}
+	}
+	f.ender.Ended(k.h, e)
+	c.rest()
+}
+
+var (
+	words = map[string]rules.Result{"OK": rules.OK, "SAME": rules.OK, "MISS": rules.Miss,
+		"BUSY": rules.Refused, "ERR": rules.Errored, "VOID": rules.Moot}
+	notes = map[string]rules.Note{"HIT": rules.NoteHit, "MISS": rules.NoteFilled,
+		"MISS_ORIGIN": rules.NoteFilledByOrigin, "COLLAPSED": rules.NoteJoined, "STALE": rules.NoteStale,
+		"UP_BUSY": rules.NoteSourceRefused, "UP_DOWN": rules.NoteSourceUnreached,
+		"UP_MISS": rules.NoteSourceLacks, "NO_FILL": rules.NoteNoFillSlot,
+		"ORIGIN_ERR": rules.NoteOriginFailed}
+	// reportWords are the wire's words for load figures that the settings name otherwise.
+	reportWords = map[string]string{"active": "inflight", "waiting": "queue", "cpu": "util",
+		"avg_ms": "latency_ms", "rps": "qps", "err_rps": "eps"}
+)
+
+var errAnswer = errors.New("unusable answer")
+
+// ending reads the words and fields of an answer.
+func (f *Fleet) ending(a answer, k *call) (director.Ending, error) {
+	result, ok := words[a.word]
+	if !ok {
+		return director.Ending{}, errAnswer
+	}
+	e := director.Ending{Result: result, Same: a.word == "SAME", Body: a.body}
+	if e.Same && (!k.known || a.body.Len() > 0) {
+		return director.Ending{}, errAnswer
+	}
+	if a.fields == "" || a.fields == "-" {
+		return e, nil
+	}
+	for pair := range strings.SplitSeq(a.fields, ",") {
+		name, value, ok := strings.Cut(pair, "=")
+		if !ok {
+			return director.Ending{}, errAnswer
+		}
+		switch name {
+		case "n":
+			if e.Note, ok = notes[value]; !ok {
+				return director.Ending{}, errAnswer
+			}
+		case "fill":
+			ms, err := strconv.ParseFloat(value, 64)
+			if err != nil || !(ms >= 0) || ms > 1e9 {
+				return director.Ending{}, errAnswer
+			}
+			e.Waited = time.Duration(ms * float64(time.Millisecond))
+		case "l":
+			e.Report = f.report(value)
+		}
+	}
+	return e, nil
+}
+
+// report puts the figures of a load report in the order of the settings. What can't be read is 0: a report
+// is advice, and no reason to lose an answer.
+func (f *Fleet) report(s string) []float32 {
+	if len(f.fields) == 0 {
+		return nil
+	}
+	v := make([]float32, len(f.fields))
+	for pair := range strings.SplitSeq(s, ";") {
+		name, value, _ := strings.Cut(pair, ":")
+		for i, field := range f.fields {
+			if name == field || name == reportWords[field] {
+				x, _ := strconv.ParseFloat(value, 32)
+				v[i] = float32(x)
+			}
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/internal/clients/clients.go
@@ -0,0 +1,451 @@
+// Package clients speaks with clients: Thrift calls in frames, in the strict binary protocol. It takes
+// requests off connections, hands them to the director and writes one answer for each.
+package clients
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+
+	"shaleyard/internal/buffer"
+	"shaleyard/internal/config"
+	"shaleyard/internal/director"
+	"shaleyard/rules"
+)
+
+// Conn is a client's connection as the event loop gives it. A write never blocks; what the socket does not
+// take at once is kept and counted by OutboundBuffered.
+type Conn interface {
+	Writev([][]byte) (int, error)
+	OutboundBuffered() int
+	Close() error
+}
+
+// Taker takes requests; it is the director.
+type Taker interface {
+	Submit(q director.Request, r director.Replier, token uint64) (director.Handle, bool)
+	Withdraw(director.Handle)
+}
+
+// Counters count what clients sent and were answered.
+type Counters struct {
+	Accepted, TurnedAway, Closed, Idle                uint64
+	Frames, Submits, Revokes, Heartbeats              uint64
+	BadFrame, BadMessage, BadFields, UnknownMethod    uint64
+	Answers, Refusals, Failures, OverOpen, TableFull  uint64
+	Backlogged, BytesIn, BytesOut, AnswersToDeadConns uint64
+}
+
+// Server holds the client connections.
+type Server struct {
+	Counters Counters
+	// Ready tells whether heartbeats are answered good.
+	Ready func() bool
+
+	limits  *config.Limits
+	pool    *buffer.Pool
+	taker   Taker
+	agenda  *director.Agenda
+	now     func() rules.Time
+	classes map[string]int
+	conns   *director.Table[*Session]
+	out     writer
+	tail    writer
+	frame   []byte // scratch: a frame that came in pieces
+	iov     [][]byte
+	backlog int // upper estimate of what clients have not read
+}
+
+// NewServer returns a server that hands requests of the settings' classes to the taker.
+func NewServer(l *config.Limits, s *rules.Settings, pool *buffer.Pool, t Taker, a *director.Agenda,
+	now func() rules.Time) *Server {
+	classes := map[string]int{}
+	for i, c := range s.Services {
+		classes[c.Name] = i
+	}
+	return &Server{limits: l, pool: pool, taker: t, agenda: a, now: now, classes: classes,
+		Ready: func() bool { return true }, conns: director.NewTable[*Session](l.ClientConns)}
+}
+
+// Session is one client connection.
+type Session struct {
+	s       *Server
+	c       Conn
+	handle  director.Handle
+	head    []byte // of a frame's length
+	want    int    // bytes of the frame under way; 0: none
+	got     buffer.Chain
+	open    map[int32]director.Handle
+	idle    director.Entry
+	lastUse rules.Time
+	closed  bool
+}
+
+// Accept takes a connection in, or returns nil where clients hold all that they may.
+func (s *Server) Accept(c Conn) *Session {
+	x := &Session{s: s, c: c, open: map[int32]director.Handle{}, got: s.pool.Chain()}
+	h, ok := s.conns.Add(x)
+	if !ok {
+		s.Counters.TurnedAway++
+		return nil
+	}
+	s.Counters.Accepted++
+	x.handle, x.lastUse = h, s.now()
+	x.watch()
+	return x
+}
+
+// Conns is the number of connections held.
+func (s *Server) Conns() int { return s.conns.Len() }
+
+// Unsent is the number of bytes that clients have not read yet.
+func (s *Server) Unsent() int {
+	n := 0
+	s.conns.All(func(_ director.Handle, x *Session) bool {
+		n += x.c.OutboundBuffered()
+		return true
+	})
+	return n
+}
+
+// watch closes the connection when it has been idle, or stuck in a frame, for too long.
+func (x *Session) watch() {
+	x.s.agenda.Set(&x.idle, x.lastUse+x.s.limits.ClientIdle, func() {
+		if x.closed {
+			return
+		}
+		if x.s.now()-x.lastUse < x.s.limits.ClientIdle || len(x.open) > 0 {
+			x.lastUse = max(x.lastUse, x.s.now()-x.s.limits.ClientIdle/2)
+			x.watch()
+			return
+		}
+		x.s.Counters.Idle++
+		x.c.Close()
+	})
+}
+
+// Closed ends all that the connection had open: no answer can reach the client.
+func (x *Session) Closed() {
+	if x.closed {
+		return
+	}
+	x.closed = true
+	x.s.Counters.Closed++
+	x.s.agenda.Drop(&x.idle)
+	x.got.Release()
+	x.s.conns.Remove(x.handle)
+	for seq, h := range x.open {
+		delete(x.open, seq)
+		x.s.taker.Withdraw(h)
+	}
+}
+
+// Data takes what has come in. An error closes the connection: the stream can't be followed any more.
+func (x *Session) Data(p []byte) error {
+	x.s.Counters.BytesIn += uint64(len(p))
+	x.lastUse = x.s.now()
+	for len(p) > 0 && !x.closed {
+		if x.want == 0 {
+			if p = x.length(p); x.want == 0 {
+				return nil
+			}
+			if x.want < 0 || x.want > x.s.limits.RequestFrame {
+				x.s.Counters.BadFrame++
+				return fmt.Errorf("frame of %d bytes", x.want)
+			}
+			continue
+		}
+		if x.got.Len() == 0 && len(p) >= x.want { // whole in one piece
+			frame := p[:x.want]
+			p, x.want = p[x.want:], 0
+			if err := x.message(frame); err != nil {
+				return err
+			}
+			continue
+		}
+		k := min(len(p), x.want-x.got.Len())
+		if err := x.got.Append(p[:k]); err != nil {
+			return err
+		}
+		p = p[k:]
+		if x.got.Len() < x.want {
+			return nil
+		}
+		x.s.frame = x.s.frame[:0]
+		for _, b := range x.got.Segments(nil) {
+			x.s.frame = append(x.s.frame, b...)
+		}
+		x.got.Release()
+		x.want = 0
+		if err := x.message(x.s.frame); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// length takes a frame's length off p. A frame of no bytes is malformed and comes out negative.
+func (x *Session) length(p []byte) []byte {
+	k := min(4-len(x.head), len(p))
+	x.head = append(x.head, p[:k]...)
+	if len(x.head) == 4 {
+		x.want = int(int32(binary.BigEndian.Uint32(x.head)))
+		if x.want == 0 {
+			x.want = -1
+		}
+		x.head = x.head[:0]
+	}
+	return p[k:]
+}
+
+// message handles one frame.
+func (x *Session) message(frame []byte) error {
+	c := &x.s.Counters
+	c.Frames++
+	r := reader{p: frame}
+	m := r.message()
+	if r.err != nil {
+		c.BadMessage++
+		return r.err
+	}
+	switch {
+	case m.name == "submit" && m.kind == msgCall:
+		c.Submits++
+		return x.submit(m, &r)
+	case m.name == "revoke" && (m.kind == msgOneway || m.kind == msgCall):
+		c.Revokes++
+		seq := r.revoke()
+		if r.err != nil {
+			c.BadMessage++
+			return r.err
+		}
+		if h, ok := x.open[seq]; ok {
+			delete(x.open, seq)
+			x.s.taker.Withdraw(h)
+		}
+	case m.name == "heartbeat" && m.kind == msgCall:
+		c.Heartbeats++
+		w := &x.s.out
+		w.answerHead(m.name, m.seq, 0)
+		w.answerTail(x.s.Ready())
+		x.write(w.end(0))
+	case m.kind == msgCall:
+		c.UnknownMethod++
+		x.write(x.s.out.application(m.name, m.seq, appUnknownMethod, "unknown method"))
+	case m.kind == msgOneway:
+		c.UnknownMethod++ // nobody waits for an answer
+	default:
+		c.BadMessage++
+		return fmt.Errorf("message of type %d", m.kind)
+	}
+	return nil
+}
+
+// submit takes a request, or answers at once where it can't be taken.
+func (x *Session) submit(m message, r *reader) error {
+	c := &x.s.Counters
+	args := r.submit(x.s.limits.RequestFields)
+	if _, dup := x.open[m.seq]; dup {
+		c.BadMessage++
+		return fmt.Errorf("sequence number %d is open", m.seq)
+	}
+	q := director.Request{Body: x.s.pool.Chain()}
+	err := r.err
+	if err == nil {
+		err = x.s.request(args, &q)
+	}
+	if err == nil {
+		err = q.Body.Append(args.body)
+	}
+	switch {
+	case errors.Is(err, buffer.ErrExhausted):
+		q.Body.Release()
+		c.TableFull++
+		x.refuse(m.seq, 0)
+		return nil
+	case err != nil:
+		c.BadFields++
+		x.write(x.s.out.application(m.name, m.seq, appProtocolError, err.Error()))
+		return nil
+	case len(x.open) >= x.s.limits.ClientOpen:
+		q.Body.Release()
+		c.OverOpen++
+		x.refuse(m.seq, 0)
+		return nil
+	}
+	// The answer may come within Submit, so the number is taken before.
+	x.open[m.seq] = 0
+	h, ok := x.s.taker.Submit(q, x, uint64(uint32(m.seq)))
+	if !ok {
+		q.Body.Release()
+		delete(x.open, m.seq)
+		c.TableFull++
+		x.refuse(m.seq, 0)
+		return nil
+	}
+	if _, still := x.open[m.seq]; still {
+		x.open[m.seq] = h
+	}
+	return nil
+}
+
+// request checks the fields of a request.
+func (s *Server) request(a submit, q *director.Request) error {
+	f := a.fields
+	q.Ref, q.Service, q.Object, q.Part, q.Known = f["ref"], f["service"], f["lookup"], f["chunk"], f["known"]
+	class, ok := s.classes[q.Service]
+	if !ok {
+		return fmt.Errorf("service: %.40q is none of ours", q.Service)
+	}
+	q.Class = class
+	for _, h := range []struct{ name, value string }{{"ref", q.Ref}, {"lookup", q.Object}} {
+		if !hex16(h.value) {
+			return fmt.Errorf("%s: %.40q is not 16 hex digits", h.name, h.value)
+		}
+	}
+	q.Key, _ = strconv.ParseUint(q.Object, 16, 64)
+	if q.Known != "" && !token(q.Known) {
+		return fmt.Errorf("known: %.40q is no tag", q.Known)
+	}
+	allow, err := number("allow", f["allow"], 1, 10*60*1000)
+	if err != nil {
+		return err
+	}
+	q.Allow = time.Duration(allow) * time.Millisecond
+	if q.Part == "" {
+		q.Part = "0"
+	}
+	if q.PartNo, err = number("chunk", q.Part, 0, math.MaxInt32); err != nil {
+		return err
+	}
+	if v := f["tag"]; v != "" {
+		if q.Group, err = number("tag", v, 0, 255); err != nil {
+			return err
+		}
+	}
+	if v := f["room"]; v != "" {
+		kb, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(kb >= 0) || kb > 1e9 {
+			return fmt.Errorf("room: %.40q is no size", v)
+		}
+		q.SizeKB = kb
+	}
+	if len(a.body) > s.limits.RequestBody {
+		return fmt.Errorf("body: %d bytes, %d at most", len(a.body), s.limits.RequestBody)
+	}
+	return nil
+}
+
+func number(name, v string, least, most int) (int, error) {
+	n, err := strconv.Atoi(v)
+	if err != nil || n < least || n > most {
+		return 0, fmt.Errorf("%s: %.40q is not a number from %d to %d", name, v, least, most)
+	}
+	return n, nil
+}
+
+func hex16(s string) bool {
+	if len(s) != 16 {
+		return false
+	}
+	for i := range len(s) {
+		if c := s[i]; (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+// token guards the FIELDS list towards caches: a client's tag must not bring separators into it.
+func token(s string) bool {
+	if len(s) > 128 {
+		return false
+	}
+	for i := range len(s) {
+		if c := s[i]; c <= ' ' || c == ',' || c == '=' || c >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// Reply writes the one answer to a request.
+func (x *Session) Reply(t uint64, a director.Answer) {
+	seq := int32(uint32(t))
+	if _, ok := x.open[seq]; !ok || x.closed {
+		x.s.Counters.AnswersToDeadConns++
+		return
+	}
+	delete(x.open, seq)
+	x.lastUse = x.s.now()
+	switch a.Verdict {
+	case director.Served:
+		x.s.Counters.Answers++
+		x.serve(seq, a)
+	case director.Refused:
+		x.refuse(seq, a.RetryAfter)
+	default:
+		x.s.Counters.Failures++
+		x.write(x.s.out.declared("submit", seq, 2))
+	}
+}
+
+func (x *Session) serve(seq int32, a director.Answer) {
+	body := 0
+	iov := append(x.s.iov[:0], nil)
+	if a.Body != nil && !a.Same {
+		body = a.Body.Len()
+		iov = a.Body.Segments(iov)
+	}
+	w, tail := &x.s.out, &x.s.tail
+	w.answerHead("submit", seq, body)
+	tail.b = tail.b[:0]
+	if a.Same {
+		tail.answerTail(true, "valid", "1")
+	} else {
+		tail.answerTail(true)
+	}
+	iov[0] = w.end(body + len(tail.b))
+	iov = append(iov, tail.b)
+	x.s.iov = iov
+	x.write(iov...)
+	clear(iov)
+}
+
+func (x *Session) refuse(seq int32, after time.Duration) {
+	x.s.Counters.Refusals++
+	var pairs []string
+	if ms := (after + time.Millisecond - 1) / time.Millisecond; ms > 0 {
+		pairs = []string{"cooldown", strconv.FormatInt(int64(ms), 10)}
+	}
+	x.write(x.s.out.declared("submit", seq, 1, pairs...))
+}
+
+// write passes an answer to the socket. What a client leaves unread is bounded, for each and for all
+// together: one who does not read loses its connection, not the others their memory.
+func (x *Session) write(parts ...[]byte) {
+	if x.closed {
+		x.s.Counters.AnswersToDeadConns++
+		return
+	}
+	size := 0
+	for _, p := range parts {
+		size += len(p)
+	}
+	s := x.s
+	if s.backlog += size; s.backlog > s.limits.TotalBacklog {
+		s.backlog = s.Unsent() + size
+	}
+	if x.c.OutboundBuffered()+size > s.limits.ClientBacklog || s.backlog > s.limits.TotalBacklog {
+		s.Counters.Backlogged++
+		x.c.Close()
+		return
+	}
+	s.Counters.BytesOut += uint64(size)
+	if _, err := x.c.Writev(parts); err != nil {
+		x.c.Close()
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,226 @@
+// Package config reads what a director is told at its start and fills the one set of limits that all
+// other packages work within.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"shaleyard/rules"
+)
+
+// Config is what EDGE_CONFIG holds, checked.
+type Config struct {
+	Name     string
+	Listen   string
+	Feed     string
+	Seed     uint64
+	Known    Known
+	Settings rules.Settings
+	Limits   Limits
+}
+
+// Known is the control feed's history at the start.
+type Known struct {
+	N      uint64            `json:"n"`
+	Events []json.RawMessage `json:"events"`
+}
+
+// Limits are all sizes, counts and times that the program keeps to.
+type Limits struct {
+	Cores       float64
+	MemoryBytes int64 // soft limit for the Go runtime
+	Descriptors int
+
+	// Clients.
+	ClientConns   int           // connections clients may hold
+	ClientOpen    int           // open requests on one connection
+	RequestFrame  int           // bytes of one Thrift frame
+	RequestBody   int           // bytes a write carries
+	RequestFields int           // entries of the field map
+	ClientBacklog int           // bytes a client may leave unread
+	TotalBacklog  int           // bytes all clients together may leave unread
+	ClientIdle    time.Duration // a client connection with no open request, or with part of a frame
+	OpenRequests  int           // requests taken and not answered
+
+	// Caches, parents, origin.
+	PeerConns      int           // descriptors for dialled connections
+	StreamsPerConn int           // attempts open on one connection
+	ConnectTimeout time.Duration // a connection not up by then has failed
+	PeerIdle       time.Duration // an idle connection is closed after this
+	PeerBacklog    int           // bytes a peer may leave unread
+	AnswerBody     int           // bytes of an object
+	AnswerFields   int           // bytes of an answer's fields
+
+	// Control feed.
+	FeedLine    int           // bytes of one line
+	FeedSilence time.Duration // no line for so long: reconnect
+	FeedRetry   time.Duration // between attempts to connect
+	FeedWait    time.Duration // readiness waits for the feed no longer
+	Members     int           // members held at once
+
+	// Buffers.
+	BufferSize  int
+	BufferCount int
+
+	// Stop.
+	DrainAccept time.Duration // after SIGTERM connections and requests are still taken for so long
+	DrainMost   time.Duration // after SIGTERM the program ends no later
+}
+
+type document struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Seed   string `json:"seed"`
+	Limits struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  float64 `json:"sockets"`
+	} `json:"limits"`
+	Feed     string          `json:"feed"`
+	Known    Known           `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// transport holds the settings that only sockets need.
+type transport struct {
+	Ceilings struct {
+		ConnectTimeout time.Duration `json:"connectTimeout"`
+		Keepalive      time.Duration `json:"keepalive"`
+		StreamsPerConn int           `json:"streamsPerConn"`
+	} `json:"ceilings"`
+}
+
+// Load reads the file that EDGE_CONFIG names. EDGE_NAME and EDGE_LISTEN, where set, must not contradict it.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("EDGE_CONFIG")
+	if path == "" {
+		return nil, errors.New("EDGE_CONFIG: not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+	}
+	c, err := Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	if v := getenv("EDGE_NAME"); v != "" && v != c.Name {
+		return nil, fmt.Errorf("EDGE_NAME: %q, but name is %q", v, c.Name)
+	}
+	if v := getenv("EDGE_LISTEN"); v != "" && v != c.Listen {
+		return nil, fmt.Errorf("EDGE_LISTEN: %q, but listen is %q", v, c.Listen)
+	}
+	return c, nil
+}
+
+// Parse checks a configuration; an error names the field at fault.
+func Parse(text []byte) (*Config, error) {
+	var d document
+	if err := json.Unmarshal(text, &d); err != nil {
+		var t *json.UnmarshalTypeError
+		if errors.As(err, &t) {
+			return nil, fmt.Errorf("%s: can't be a %s", t.Field, t.Value)
+		}
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	c := &Config{Name: d.Name, Listen: d.Listen, Feed: d.Feed, Known: d.Known}
+	if d.Name == "" {
+		return nil, errors.New("name: missing")
+	}
+	for _, a := range []struct{ field, value string }{{"listen", d.Listen}, {"feed", d.Feed}} {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return nil, fmt.Errorf("%s: %q is no address and port", a.field, a.value)
+		}
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(d.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %q is no hex number of 64 bits", d.Seed)
+	}
+	if len(d.Settings) == 0 {
+		return nil, errors.New("settings: missing")
+	}
+	if err := json.Unmarshal(d.Settings, &c.Settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	var t transport
+	if err := json.Unmarshal(d.Settings, &t); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	switch l := d.Limits; {
+	case !(l.Cores > 0):
+		return nil, fmt.Errorf("limits.cores: %v", l.Cores)
+	case !(l.MemoryMB >= 32) || l.MemoryMB > 1<<20:
+		return nil, fmt.Errorf("limits.memory_mb: %v, 32 at least", l.MemoryMB)
+	case !(l.Sockets >= 64) || l.Sockets > 1<<20:
+		return nil, fmt.Errorf("limits.sockets: %v, 64 at least", l.Sockets)
+	}
+	c.Limits = fill(d, t, &c.Settings)
+	return c, nil
+}
+
+// fill derives the limits. Of the memory, a third may hold bodies in buffers, a sixth what clients have not
+// read; the rest is for the program and the collector's headroom.
+func fill(d document, t transport, s *rules.Settings) Limits {
+	memory := int(d.Limits.MemoryMB * (1 << 20))
+	sockets := int(d.Limits.Sockets)
+	longest := 3 * time.Second
+	for _, c := range s.Services {
+		longest = max(longest, c.Deadline)
+	}
+	reserve := 32 // listener, poller, feed, standard streams, and what is between accept and close
+	l := Limits{
+		Cores:       d.Limits.Cores,
+		MemoryBytes: int64(memory) * 3 / 4,
+		Descriptors: sockets,
+
+		ClientConns:   sockets / 3,
+		ClientOpen:    32,
+		RequestFrame:  96 << 10,
+		RequestBody:   48_000,
+		RequestFields: 32,
+		ClientBacklog: 32 * (240_000 + 1<<10),
+		TotalBacklog:  memory / 6,
+		ClientIdle:    30 * time.Second,
+		OpenRequests:  4096,
+
+		PeerConns:      sockets - sockets/3 - reserve,
+		StreamsPerConn: 100,
+		ConnectTimeout: time.Second,
+		PeerIdle:       15 * time.Second,
+		PeerBacklog:    1 << 20,
+		AnswerBody:     240_000,
+		AnswerFields:   4 << 10,
+
+		FeedLine:    4 << 20,
+		FeedSilence: 1300 * time.Millisecond,
+		FeedRetry:   100 * time.Millisecond,
+		FeedWait:    time.Second,
+		Members:     4096,
+
+		BufferSize: 16 << 10,
+
+		DrainAccept: 700 * time.Millisecond,
+		DrainMost:   longest + 650*time.Millisecond,
+	}
+	l.BufferCount = memory / 3 / l.BufferSize
+	if s.Ceilings.OpenCap > 0 {
+		l.OpenRequests = min(l.OpenRequests, s.Ceilings.OpenCap)
+	}
+	if v := t.Ceilings.ConnectTimeout; v > 0 {
+		l.ConnectTimeout = v
+	}
+	if v := t.Ceilings.Keepalive; v > 0 {
+		l.PeerIdle = v
+	}
+	if v := t.Ceilings.StreamsPerConn; v > 0 {
+		l.StreamsPerConn = min(v, math.MaxInt16)
+	}
+	return l
+}
--- /dev/null
+++ b/internal/director/director.go
@@ -0,0 +1,434 @@
+// Package director drives the decision module: it turns what fronts, peers and the control feed report
+// into the router's events, and the router's actions into calls on them. It knows no protocol and no
+// socket. Whoever takes requests hands them to Submit and gets one answer each through its Replier, so that
+// any number of protocols can stand before the same decisions and rules.
+//
+// All of it runs on the event loop; nothing here is safe for concurrent use.
+package director
+
+import (
+	"hash/fnv"
+	"time"
+
+	"shaleyard/internal/buffer"
+	"shaleyard/rules"
+)
+
+// Verdict says how a request ended for its client.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Served  Verdict = iota
+	Refused         // trying again is harmless
+	Failed          // nothing is said about its effect
+)
+
+// Request is what a front hands in. Ref, Service, Object and Part pass on unchanged.
+type Request struct {
+	Ref, Service, Object, Part string
+	Class                      int // index of Service in the settings
+	Key                        uint64
+	PartNo, Group              int
+	SizeKB                     float64
+	Known                      string        // tag of the client's copy, if any
+	Allow                      time.Duration // the client waits so long
+	Body                       buffer.Chain  // owned by the director from Submit on
+}
+
+// Answer is the one final answer to a request.
+type Answer struct {
+	Verdict    Verdict
+	Same       bool          // the client's copy is the one
+	RetryAfter time.Duration // on a refusal; 0: no advice
+	Body       *buffer.Chain // nil: none; valid during the call
+}
+
+// Replier takes the answer to a request that it has submitted under a token. It is called once, unless the
+// request is withdrawn before.
+type Replier interface{ Reply(token uint64, a Answer) }
+
+// Call is an attempt as a peer is to be asked.
+type Call struct {
+	Request  *Request
+	Patience time.Duration
+	Up       string // name of the source; "": no fill
+	Keep     uint8
+	How      rules.How
+	MaxAge   time.Duration
+}
+
+// Peers reaches caches, parents and the origin. Each Send is followed by one Director.Ended, unless Stop
+// comes before it.
+type Peers interface {
+	Send(attempt Handle, to rules.Host, c Call)
+	// Stop gives an attempt up and tells whether any of it may have been written.
+	Stop(attempt Handle) (written bool)
+	// Suspect tells that an attempt got no answer in time.
+	Suspect(attempt Handle)
+	Join(host rules.Host, name, address string, started rules.Time)
+	Leave(host rules.Host)
+}
+
+// Ending is how an attempt ended, as a peer reported it.
+type Ending struct {
+	Result rules.Result
+	Note   rules.Note
+	Waited time.Duration
+	Report []float32
+	Same   bool
+	Body   buffer.Chain // owned by the director from Ended on
+}
+
+// Member is an entry of the list of servers as the control feed gives it.
+type Member struct {
+	Name, Address string
+	rules.Member  // without Host
+}
+
+// Counters count what passed through.
+type Counters struct {
+	Taken, Served, Refused, Failed, Withdrawn, Overdue       uint64
+	Attempts, Cancelled, Moot, Ended, LateEnds, TimedOut     uint64
+	MemberEvents, MemberEntries, PurgeEvents, UnknownActions uint64
+	Results                                                  [rules.Miss + 1]uint64
+}
+
+// Director drives one router.
+type Director struct {
+	Counters Counters
+
+	router   *rules.Router
+	settings *rules.Settings
+	peers    Peers
+	agenda   *Agenda
+	now      func() rules.Time
+	logf     func(format string, a ...any)
+
+	requests *Table[*request]
+	attempts *Table[*attempt]
+	names    map[rules.Host]string
+	queue    []event
+	busy     bool
+}
+
+type request struct {
+	Request
+	handle  Handle
+	reply   Replier
+	token   uint64
+	giveUp  rules.Time
+	overdue Entry
+	next    int            // number of the next attempt
+	out     map[int]Handle // attempts out by number
+	over    bool
+}
+
+type attempt struct {
+	req      Handle
+	no       int
+	host     rules.Host
+	sent     rules.Time
+	deadline Entry
+}
+
+// event is a router's event, and the request whose slot is free once the router has seen it.
+type event struct {
+	ev   rules.Event
+	last *request
+}
+
+// overdueAfter is how long past the client's patience a request without an answer is failed here. The
+// module ends each request by then; this only guards the rule of one answer against a fault of its own.
+const overdueAfter = 25 * time.Millisecond
+
+// New returns a director for the settings. It can hold most open requests.
+func New(s *rules.Settings, seed uint64, most int, agenda *Agenda, now func() rules.Time,
+	logf func(string, ...any)) (*Director, error) {
+	r, err := rules.New(*s, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &Director{router: r, settings: s, agenda: agenda, now: now, logf: logf,
+		requests: NewTable[*request](most), attempts: NewTable[*attempt](maxSlots),
+		names: map[rules.Host]string{}}, nil
+}
+
+// Attach names the peers; it comes before the first event.
+func (d *Director) Attach(p Peers) { d.peers = p }
+
+// Open is the number of requests taken and not answered.
+func (d *Director) Open() int { return d.requests.Len() }
+
+// Submit takes a request; false: there is no room, nothing was taken, and the caller refuses it.
+func (d *Director) Submit(q Request, reply Replier, token uint64) (Handle, bool) {
+	r := &request{Request: q, reply: reply, token: token, out: map[int]Handle{}}
+	h, ok := d.requests.Add(r)
+	if !ok {
+		return 0, false
+	}
+	now := d.now()
+	r.handle, r.giveUp = h, now+q.Allow
+	d.Counters.Taken++
+	d.agenda.Set(&r.overdue, r.giveUp+overdueAfter, func() {
+		d.Counters.Overdue++
+		d.logf("request %s overdue: failed by the guard", r.Ref)
+		d.answer(r, Answer{Verdict: Failed})
+		d.post(event{rules.Expired{ID: uint32(h)}, r})
+	})
+	write := q.Class < len(d.settings.Family.PassOn) && d.settings.Family.PassOn[q.Class]
+	d.post(event{ev: rules.Request{ID: uint32(h), Class: q.Class, Object: q.Key, Part: q.PartNo,
+		Group: q.Group, GiveUpAt: r.giveUp, SizeKB: q.SizeKB, Write: write}})
+	return h, true
+}
+
+// Withdraw ends a request whose client no longer waits: no answer is owed.
+func (d *Director) Withdraw(h Handle) {
+	r, ok := d.requests.Get(h)
+	if !ok || r.over {
+		return
+	}
+	d.Counters.Withdrawn++
+	d.finish(r)
+	d.post(event{rules.Expired{ID: uint32(h)}, r})
+}
+
+// Members takes a change of the list of servers; full: what is not in it has gone.
+func (d *Director) Members(full bool, version uint64, list []Member) {
+	d.Counters.MemberEvents++
+	m := rules.Members{Kind: rules.Delta, Version: version}
+	seen := map[rules.Host]bool{}
+	if full {
+		m.Kind = rules.Full
+	}
+	for _, e := range list {
+		d.Counters.MemberEntries++
+		e.Host = hostOf(e.Name)
+		seen[e.Host] = true
+		m.List = append(m.List, e.Member)
+		if e.State == rules.Gone {
+			delete(d.names, e.Host)
+			continue
+		}
+		d.names[e.Host] = e.Name
+		d.peers.Join(e.Host, e.Name, e.Address, e.Started)
+	}
+	d.post(event{ev: m})
+	for _, e := range m.List {
+		if e.State == rules.Gone {
+			d.peers.Leave(e.Host)
+		}
+	}
+	if full {
+		for h := range d.names {
+			if !seen[h] {
+				delete(d.names, h)
+				d.peers.Leave(h)
+			}
+		}
+	}
+}
+
+// Purge takes a purge of an object, or with object 0 of a group, made at a time.
+func (d *Director) Purge(object uint64, group int, made rules.Time) {
+	d.Counters.PurgeEvents++
+	d.post(event{ev: rules.Purge{Age: max(0, d.now()-made), Group: group, Object: object}})
+}
+
+// hostOf turns a member's name into the module's address. It hangs on the name alone: all directors must
+// rank the same, a process that restarts under its name stays the same server, and a new one at an old
+// address is another.
+func hostOf(name string) rules.Host {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	v := h.Sum64()
+	return rules.Host((v ^ v>>48) & (1<<48 - 1))
+}
+
+// post hands events to the router one after another. An action can bring the next event before it returns
+// (a peer that fails at once, a client connection that dies under an answer), and the router's list of
+// actions holds only until its next event: so what comes meanwhile waits in line.
+func (d *Director) post(e event) {
+	d.queue = append(d.queue, e)
+	if d.busy {
+		return
+	}
+	d.busy = true
+	for i := 0; i < len(d.queue); i++ {
+		e := d.queue[i]
+		for _, a := range d.router.Handle(d.now(), e.ev) {
+			d.act(a)
+		}
+		if e.last != nil {
+			d.free(e.last)
+		}
+	}
+	clear(d.queue)
+	d.queue, d.busy = d.queue[:0], false
+}
+
+func (d *Director) act(action rules.Action) {
+	switch a := action.(type) {
+	case rules.Fetch:
+		up := a.Source
+		if up == a.Host {
+			up = 0
+		}
+		d.send(a.ID, a.Host, up, a.Timeout, Call{Keep: a.Keep, How: a.How, MaxAge: a.MaxAge})
+	case rules.Forward:
+		d.send(a.ID, a.Host, 0, a.Timeout, Call{})
+	case rules.Cancel:
+		if r, ok := d.requests.Get(Handle(a.ID)); ok {
+			d.cancel(r, a.Attempt)
+		}
+	case rules.Refuse:
+		d.end(a.ID, Answer{Verdict: Refused, RetryAfter: a.RetryAfter})
+	case rules.Fail:
+		d.end(a.ID, Answer{Verdict: Failed})
+	case rules.SetTimer:
+		d.agenda.At(a.At, func() { d.post(event{ev: rules.Timer{Token: a.Token}}) })
+	case rules.Log:
+		d.logf("%s", a.Text)
+	default: // probes, peer messages and discovery calls: this deployment has none of them
+		d.Counters.UnknownActions++
+	}
+}
+
+// end is the router's final answer.
+func (d *Director) end(id uint32, a Answer) {
+	r, ok := d.requests.Get(Handle(id))
+	if !ok || r.over {
+		return
+	}
+	d.answer(r, a)
+	// The router may still call off attempts of the request in this round, so its slot is freed behind it.
+	d.post(event{rules.Expired{ID: id}, r})
+}
+
+// answer gives the client its one answer.
+func (d *Director) answer(r *request, a Answer) {
+	switch a.Verdict {
+	case Served:
+		d.Counters.Served++
+	case Refused:
+		d.Counters.Refused++
+	default:
+		d.Counters.Failed++
+	}
+	d.finish(r)
+	r.reply.Reply(r.token, a)
+}
+
+func (d *Director) finish(r *request) {
+	r.over = true
+	d.agenda.Drop(&r.overdue)
+}
+
+// free gives the slot back when the router has seen the request's end. By then it has called off all
+// attempts; what the site does not let it call off is dropped here.
+func (d *Director) free(r *request) {
+	for no := range r.out {
+		d.cancel(r, no)
+	}
+	r.Body.Release()
+	d.requests.Remove(r.handle)
+}
+
+// send starts an attempt. One for a request that is over never leaves.
+func (d *Director) send(id uint32, host, up rules.Host, timeout time.Duration, c Call) {
+	r, ok := d.requests.Get(Handle(id))
+	if !ok {
+		d.Counters.UnknownActions++
+		return
+	}
+	now := d.now()
+	a := &attempt{req: r.handle, no: r.next, host: host, sent: now}
+	r.next++
+	until := r.giveUp
+	if timeout > 0 {
+		until = min(until, now+timeout)
+	}
+	h, ok := Handle(0), false
+	if !r.over && until > now {
+		h, ok = d.attempts.Add(a)
+	}
+	if !ok {
+		d.Counters.Moot++
+		d.outcome(r, a, Ending{Result: rules.Moot})
+		return
+	}
+	d.Counters.Attempts++
+	r.out[a.no] = h
+	d.agenda.Set(&a.deadline, until, func() {
+		d.Counters.TimedOut++
+		d.peers.Suspect(h)
+		result := rules.TimedOut
+		if !d.peers.Stop(h) {
+			result = rules.ConnectFailed // nothing of it was written: it never ran
+		}
+		d.close(h, a, r, Ending{Result: result})
+	})
+	c.Request, c.Patience = &r.Request, until-now
+	if up != 0 {
+		c.Up = d.names[up]
+	}
+	d.peers.Send(h, host, c)
+}
+
+// cancel gives an attempt up. One of which nothing was written provably never ran.
+func (d *Director) cancel(r *request, no int) {
+	h, ok := r.out[no]
+	if !ok {
+		return
+	}
+	a, ok := d.attempts.Get(h)
+	if !ok {
+		return
+	}
+	d.Counters.Cancelled++
+	result := rules.Cancelled
+	if !d.peers.Stop(h) {
+		result = rules.Moot
+	}
+	d.close(h, a, r, Ending{Result: result})
+}
+
+// Ended takes the end of an attempt from its peer. One that has ended before is dropped.
+func (d *Director) Ended(h Handle, e Ending) {
+	a, ok := d.attempts.Get(h)
+	if !ok {
+		d.Counters.LateEnds++
+		e.Body.Release()
+		return
+	}
+	r, _ := d.requests.Get(a.req)
+	d.close(h, a, r, e)
+}
+
+// close ends an attempt: a first OK goes to the client at once and ends the request.
+func (d *Director) close(h Handle, a *attempt, r *request, e Ending) {
+	d.agenda.Drop(&a.deadline)
+	d.attempts.Remove(h)
+	delete(r.out, a.no)
+	d.Counters.Ended++
+	d.Counters.Results[e.Result]++
+	if e.Result == rules.OK && !r.over {
+		d.answer(r, Answer{Verdict: Served, Same: e.Same, Body: &e.Body})
+		e.Body.Release()
+		d.outcome(r, a, e)
+		return
+	}
+	e.Body.Release()
+	d.outcome(r, a, e)
+}
+
+// outcome tells the router how an attempt ended, and for the request's last one frees its slot behind it.
+func (d *Director) outcome(r *request, a *attempt, e Ending) {
+	o := rules.Outcome{ID: uint32(r.handle), Attempt: a.no, Host: a.host, Result: e.Result,
+		After: d.now() - a.sent, Settled: r.over, Note: e.Note, Waited: e.Waited, Report: e.Report}
+	ev := event{ev: o}
+	if e.Result == rules.OK && r.over {
+		ev.last = r
+	}
+	d.post(ev)
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,244 @@
+// Package loop runs the one event loop, on gnet. Everything that owns state runs on it: data, opened and
+// closed connections, the ends of dials and all deadlines.
+//
+// What gnet (v2.9.7) does, read in its source, and what follows here:
+//   - Engine.Register hands a dialled net.Conn to the loop from a worker goroutine: it duplicates the
+//     descriptor, closes the first and calls OnOpen on the loop with the value given as context. So a dial
+//     holds two descriptors for a moment, and the count of dials is bounded with that in mind.
+//   - OnTick runs on a goroutine of its own, not on the loop. Deadlines come through EventLoop.Execute, and
+//     an EventLoop is handed out only through a Conn: the first tick registers one end of a socket pair to
+//     get it, as OnBoot is called before there is a loop to register with.
+//   - Write passes on what the socket takes and copies the rest into an elastic buffer without a bound;
+//     nothing tells when it has drained. So bodies are written whole and OutboundBuffered is bounded here.
+//   - A failed write closes the connection and calls OnClose before Write returns: all handlers must bear
+//     that, and the director queues what comes back while it acts.
+//   - Accept ends the engine when descriptors run out: dials and clients have shares that leave a reserve.
+package loop
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+
+	"shaleyard/internal/caches"
+	"shaleyard/internal/director"
+	"shaleyard/rules"
+)
+
+// Session takes what an accepted connection brings.
+type Session interface {
+	Data([]byte) error
+	Closed()
+}
+
+// Front accepts connections; nil turns one away.
+type Front interface {
+	Accept(c gnet.Conn) Session
+}
+
+// Loop is the event loop. Its fields are set before Run.
+type Loop struct {
+	gnet.BuiltinEventEngine
+
+	// Boot is called on the loop before anything else.
+	Boot func()
+	// Front takes accepted connections.
+	Front Front
+	// Rejected counts the streams that were closed for what came on them, by reason.
+	Rejected func(reason error)
+
+	Agenda *director.Agenda
+	Now    func() rules.Time
+
+	eng   gnet.Engine
+	el    gnet.EventLoop
+	bell  net.Conn
+	armed rules.Time
+	alarm *time.Timer
+	mu    sync.Mutex
+	ended bool
+	err   error
+}
+
+// Run listens on the address and serves until Stop.
+func (l *Loop) Run(address string) error {
+	err := gnet.Run(l, "tcp://"+address, gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true),
+		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogLevel(logging.ErrorLevel),
+		gnet.WithTicker(true), gnet.WithWriteBufferCap(64<<10))
+	if l.alarm != nil {
+		l.alarm.Stop()
+	}
+	if err != nil {
+		return fmt.Errorf("listen %s: %w", address, err)
+	}
+	return l.err
+}
+
+// Stop ends Run; connections are closed.
+func (l *Loop) Stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return
+	}
+	l.ended = true
+	go l.eng.Stop(context.Background()) // it waits for the loop, which may be the caller
+}
+
+// Do runs f on the loop. It may be called from any goroutine once Boot has been called.
+func (l *Loop) Do(f func()) {
+	_ = l.el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		f()
+		l.arm()
+		return nil
+	}))
+}
+
+// doorbell is the session of the socket pair.
+type doorbell struct{}
+
+// OnBoot implements gnet.EventHandler. The engine has no event loop yet: the doorbell must wait for OnTick.
+func (l *Loop) OnBoot(eng gnet.Engine) gnet.Action {
+	l.eng = eng
+	return gnet.None
+}
+
+// OnTick implements gnet.EventHandler. Its first call comes when the event loop is there, aside of it, and
+// registers the doorbell; there is nothing to do in later ones.
+func (l *Loop) OnTick() (time.Duration, gnet.Action) {
+	const never = 24 * time.Hour
+	if l.bell != nil {
+		return never, gnet.None
+	}
+	if err := l.hang(); err != nil {
+		l.err = fmt.Errorf("doorbell: %w", err)
+		return never, gnet.Shutdown
+	}
+	return never, gnet.None
+}
+
+func (l *Loop) hang() error {
+	ours, bell, err := pair()
+	if err != nil {
+		return err
+	}
+	l.bell = ours
+	ctx := gnet.NewContext(gnet.NewNetConnContext(context.Background(), bell), doorbell{})
+	registered, err := l.eng.Register(ctx)
+	if err != nil {
+		return err
+	}
+	return (<-registered).Err
+}
+
+func pair() (a, b net.Conn, err error) {
+	fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, nil, err
+	}
+	var conns [2]net.Conn
+	for i, fd := range fds {
+		f := os.NewFile(uintptr(fd), "doorbell")
+		c, err2 := net.FileConn(f)
+		f.Close()
+		conns[i], err = c, errors.Join(err, err2)
+	}
+	return conns[0], conns[1], err
+}
+
+// OnOpen implements gnet.EventHandler.
+func (l *Loop) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	defer l.arm()
+	switch x := c.Context().(type) {
+	case doorbell:
+		l.el = c.EventLoop()
+		l.Boot()
+	case *dial:
+		_ = c.SetNoDelay(true)
+		c.SetContext(x.stream)
+		x.stream.Opened(c)
+	default:
+		s := l.Front.Accept(c)
+		if s == nil {
+			return nil, gnet.Close
+		}
+		c.SetContext(s)
+	}
+	return nil, gnet.None
+}
+
+// OnTraffic implements gnet.EventHandler.
+func (l *Loop) OnTraffic(c gnet.Conn) gnet.Action {
+	defer l.arm()
+	s, ok := c.Context().(Session)
+	b, _ := c.Next(-1)
+	if !ok {
+		return gnet.None
+	}
+	if err := s.Data(b); err != nil {
+		l.Rejected(err)
+		return gnet.Close
+	}
+	return gnet.None
+}
+
+// OnClose implements gnet.EventHandler.
+func (l *Loop) OnClose(c gnet.Conn, _ error) gnet.Action {
+	defer l.arm()
+	if s, ok := c.Context().(Session); ok {
+		s.Closed()
+	}
+	return gnet.None
+}
+
+// arm sets the alarm for the earliest deadline.
+func (l *Loop) arm() {
+	at, ok := l.Agenda.Next()
+	if !ok || (at == l.armed && l.alarm != nil) {
+		return
+	}
+	l.armed = at
+	wait := max(0, at-l.Now())
+	if l.alarm == nil {
+		l.alarm = time.AfterFunc(wait, func() { l.Do(l.due) })
+		return
+	}
+	l.alarm.Reset(wait)
+}
+
+// due runs the deadlines that have come.
+func (l *Loop) due() {
+	l.armed = 0
+	l.Agenda.Run(l.Now())
+}
+
+// dial carries a stream from its dial to OnOpen.
+type dial struct{ stream caches.Stream }
+
+// Dial opens a connection within the limit, off the loop, and hands the result in on the loop.
+func (l *Loop) Dial(address string, limit time.Duration, s caches.Stream) {
+	go func() {
+		c, err := net.DialTimeout("tcp", address, limit)
+		if err == nil {
+			ctx := gnet.NewContext(gnet.NewNetConnContext(context.Background(), c), &dial{s})
+			var joined <-chan gnet.RegisteredResult
+			if joined, err = l.eng.Register(ctx); err == nil {
+				r := <-joined
+				err = r.Err
+			} else {
+				c.Close()
+			}
+		}
+		if err != nil {
+			l.Do(func() { s.Failed(err) })
+		}
+	}()
+}
