Test the director over loopback sockets against scripted peers

Found by them: "settings": null was taken for settings (config.go, Parse checked only for absence), and gnet wrote its start-up line to standard output past our log: it now gets a logger that passes on warnings and errors only.

--- a/cmd/shaleyard/main.go
+++ b/cmd/shaleyard/main.go
@@ -81,20 +81,11 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	defer signal.Stop(signals)
 	p.loop.Boot = func() {
-		p.started = p.clock.now()
-		p.feed.Start()
-		go func() {
-			for s := range signals {
-				if s == syscall.SIGUSR1 {
-					p.loop.Do(p.report)
-				} else {
-					p.loop.Do(p.stop)
-				}
-			}
-		}()
+		p.log.Printf("%s listens on %s: %d descriptors, %d MB", c.Name, p.loop.Address(),
+			c.Limits.Descriptors, c.Limits.MemoryBytes>>20)
+		p.boot()
+		go p.obey(signals)
 	}
-	p.log.Printf("%s listens on %s: %d descriptors, %d MB", c.Name, c.Listen, c.Limits.Descriptors,
-		c.Limits.MemoryBytes>>20)
 	err = p.loop.Run(c.Listen)
 	p.report()
 	return err
@@ -109,7 +100,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	p.loop = &loop.Loop{Agenda: &p.agenda, Now: p.clock.now, Front: front{p}, Rejected: p.reject}
+	p.loop = &loop.Loop{Agenda: &p.agenda, Now: p.clock.now, Front: front{p}, Logf: p.log.Printf,
+		Rejected: p.reject}
 	p.fleet = caches.NewFleet(l, s, p.pool, p.loop, p.director, &p.agenda, p.clock.now)
 	p.director.Attach(p.fleet)
 	p.clients = clients.NewServer(l, s, p.pool, p.director, &p.agenda, p.clock.now)
@@ -118,6 +110,23 @@
 	return p, nil
 }
 
+// boot begins to follow the feed, once the loop runs.
+func (p *program) boot() {
+	p.started = p.clock.now()
+	p.feed.Start()
+}
+
+// obey carries out signals.
+func (p *program) obey(signals <-chan os.Signal) {
+	for s := range signals {
+		if s == syscall.SIGUSR1 {
+			p.loop.Do(p.report)
+		} else {
+			p.loop.Do(p.stop)
+		}
+	}
+}
+
 // front hands accepted connections to the clients' server.
 type front struct{ p *program }
 
--- /dev/null
+++ b/cmd/shaleyard/stories_test.go
@@ -0,0 +1,265 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"shaleyard/internal/config"
+	"shaleyard/internal/nettest"
+)
+
+// site is a program under test between scripted peers: a feed, a cache and the origin.
+type site struct {
+	t             *testing.T
+	p             *program
+	cache, origin *nettest.Server
+	feed          *nettest.Server
+	ended         chan error
+}
+
+const settings = `{"balancers":1,"dcs":["hub","here"],"kinds":["edge","parent","origin"],"zone":1,
+ "registryMode":"automatic","weights":"rough","quantum":2000000,
+ "services":[{"name":"media","aim":5000000000,"deadline":20000000000,"worth":2,"effect":"read_like"},
+  {"name":"repayment","aim":5000000000,"deadline":20000000000,"worth":3,"effect":"non_idempotent"}],
+ "ceilings":{"cancel":true,"maxAttempts":6,"secondCopies":true,"connectTimeout":5000000000},
+ "guarantees":{"cold":1000000000,"coldFrom":0.5,"fall":1000000000,"drainGrace":2000000000,"tipMultiple":2},
+ "familyInfo":{"passOn":[false,true],"flowKbPerS":1000,"masterKind":2,"secondTierKind":1,"notesGiven":"all",
+  "purgeTakes":6000000000,"purgeSlack":500000000},
+ "report":{"fields":["active"],"via":"inline"}}`
+
+func member(name, address, zone, kind, status string) string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":%q,"type":%q,"status":%q,"weight":4}`,
+		name, address, zone, kind, status)
+}
+
+func members(n int, snapshot bool, list ...string) string {
+	return fmt.Sprintf(`{"n":%d,"members":{"index":%d,"snapshot":%v,"endpoints":[%s]}}`, n, n, snapshot,
+		strings.Join(list, ","))
+}
+
+// start runs the program until the test ends. Its feed is accepted by the test.
+func start(t *testing.T) *site {
+	t.Helper()
+	s := &site{t: t, cache: nettest.Listen(t), origin: nettest.Listen(t), feed: nettest.Listen(t),
+		ended: make(chan error, 1)}
+	known := members(1, true, member("c1", s.cache.Addr(), "here", "edge", "ready"),
+		member("o", s.origin.Addr(), "hub", "origin", "ready"))
+	c, err := config.Parse(fmt.Appendf(nil, `{"name":"n1","listen":"127.0.0.1:0","feed":%q,"seed":"1",
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"n":1,"events":[%s]},"settings":%s}`,
+		s.feed.Addr(), known, settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.p, err = assemble(c, io.Discard); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.p.feed.Replay(c.Known); err != nil {
+		t.Fatal(err)
+	}
+	up := make(chan struct{})
+	s.p.loop.Boot = func() { s.p.boot(); close(up) }
+	go func() { s.ended <- s.p.loop.Run(c.Listen) }()
+	select {
+	case <-up:
+	case err := <-s.ended:
+		t.Fatalf("ended at its start: %v", err)
+	}
+	t.Cleanup(s.p.loop.Stop)
+	return s
+}
+
+func (s *site) client() *nettest.Conn { return nettest.Dial(s.t, s.p.loop.Address()) }
+
+func fields(class, ref string) []string {
+	return []string{"service", class, "ref", ref, "allow", "15000", "lookup", "7f3a9c21e0b4d655", "chunk", "3",
+		"tag", "17", "room", "412.5"}
+}
+
+const ref1, ref2 = "9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42"
+
+// without drops what hangs on time from the FIELDS of a request.
+func without(fields, name string) string {
+	var kept []string
+	for f := range strings.SplitSeq(fields, ",") {
+		if !strings.HasPrefix(f, name+"=") {
+			kept = append(kept, f)
+		}
+	}
+	return strings.Join(kept, ",")
+}
+
+func (s *site) want(got, want nettest.Reply) {
+	s.t.Helper()
+	if d := cmp.Diff(want, got); d != "" {
+		s.t.Error(d)
+	}
+}
+
+func TestAnswerReachesTheClientWhole(t *testing.T) {
+	s := start(t)
+	cl := s.client()
+	cl.Submit(1, "", append(fields("media", ref1), "known", "tag1")...)
+	c := s.cache.Accept()
+	got := c.Command()
+	if len(got) == 4 {
+		got[2] = without(got[2], "patience")
+	}
+	want := []string{"REQ", ref1, "sort=media,asset=7f3a9c21e0b4d655,slice=3,up=o,store=1,inm=tag1", ""}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+	body := strings.Repeat("0123456789abcdef", 15_000)
+	c.Answer(ref1, "OK", "n=HIT,rev=tag2,since=1764576000000,l=active:3", body)
+	s.want(cl.Reply(), nettest.Reply{Seq: 1, Body: body, Good: true})
+
+	cl.Submit(2, "", append(fields("media", ref2), "known", "tag2")...)
+	c.Command()
+	c.Answer(ref2, "SAME", "n=HIT,rev=tag2,since=1764576000000", "")
+	s.want(cl.Reply(), nettest.Reply{Seq: 2, Good: true, Fields: map[string]string{"valid": "1"}})
+}
+
+// A reset behind a written repayment may have come after it ran: it must not be sent again, nor refused.
+func TestRepaymentIsNotSentAgainAfterAReset(t *testing.T) {
+	s := start(t)
+	cl := s.client()
+	cl.Submit(1, "pay", fields("repayment", ref1)...)
+	c := s.cache.Accept()
+	if got := c.Command(); got[3] != "pay" {
+		t.Errorf("body %q", got[3])
+	}
+	c.Reset()
+	s.want(cl.Reply(), nettest.Reply{Seq: 1, Field: 2})
+}
+
+// Refused connections prove that nothing ran: the repayment may be refused, which lets the client retry.
+func TestRepaymentIsRefusedWhenItNeverRan(t *testing.T) {
+	s := start(t)
+	s.cache.Close()
+	s.origin.Close()
+	cl := s.client()
+	cl.Submit(1, "pay", fields("repayment", ref1)...)
+	if r := cl.Reply(); r.Field != 1 {
+		t.Errorf("answer %+v, want a refusal", r)
+	}
+}
+
+// A revoked request ends its attempts, and what its cache still answers goes to nobody.
+func TestRevokeStopsTheAttempt(t *testing.T) {
+	s := start(t)
+	cl := s.client()
+	cl.Submit(1, "", fields("media", ref1)...)
+	c := s.cache.Accept()
+	c.Command()
+	cl.Revoke(1)
+	if d := cmp.Diff([]string{"STOP", ref1}, c.Command()); d != "" {
+		t.Error(d)
+	}
+	c.Answer(ref1, "OK", "n=HIT", "late")
+	cl.Submit(2, "", fields("media", ref2)...)
+	c.Command()
+	c.Answer(ref2, "OK", "n=HIT", "in time")
+	s.want(cl.Reply(), nettest.Reply{Seq: 2, Body: "in time", Good: true})
+}
+
+func TestDeadClientEndsItsRequests(t *testing.T) {
+	s := start(t)
+	cl := s.client()
+	cl.Submit(1, "", fields("media", ref1)...)
+	c := s.cache.Accept()
+	c.Command()
+	cl.Reset()
+	if d := cmp.Diff([]string{"STOP", ref1}, c.Command()); d != "" {
+		t.Error(d)
+	}
+}
+
+// What one connection brings must end neither another nor the program.
+func TestBadInputEndsOnlyItsConnection(t *testing.T) {
+	s := start(t)
+	good := s.client()
+	for _, junk := range []string{"GET / HTTP/1.1\r\n\r\n", "\x00\x00\x00\x00", "\xff\xff\xff\xff", "\x00\x00\x00\x01\x80"} {
+		bad := s.client()
+		bad.Send(junk)
+		if got := bad.Ended(); got != "" {
+			t.Errorf("%q was answered %q", junk, got)
+		}
+	}
+	good.Send(nettest.Frame(1, "nonsense", 1, nil))
+	if r := good.Reply(); !r.Application || r.Seq != 1 {
+		t.Errorf("unknown method: %+v", r)
+	}
+	good.Submit(2, "", "service", "media", "ref", "short")
+	if r := good.Reply(); !r.Application || r.Seq != 2 {
+		t.Errorf("bad fields: %+v", r)
+	}
+	good.Submit(3, "", fields("media", ref1)...)
+	c := s.cache.Accept()
+	c.Command()
+	c.Answer(ref1, "WHAT", "-", "")
+	c.Command() // the bad answer failed its attempt; the origin or the cache is asked again
+	c.Answer(ref1, "OK", "n=HIT", "x")
+	s.want(good.Reply(), nettest.Reply{Seq: 3, Body: "x", Good: true})
+}
+
+// After a loss the feed resumes behind the last event, and a new cache at an old address is another peer:
+// nothing may go to it on the connections of the one that has gone.
+func TestFeedResumesAndANewCacheIsAnotherPeer(t *testing.T) {
+	s := start(t)
+	f := s.feed.Accept()
+	if got := f.Line(); got != "SUB 1" {
+		t.Errorf("subscribed with %q", got)
+	}
+	cl := s.client()
+	cl.Submit(1, "", fields("media", ref1)...)
+	old := s.cache.Accept()
+	old.Command()
+	old.Answer(ref1, "OK", "n=HIT", "old")
+	cl.Reply()
+	f.Send(members(2, false, member("c1", s.cache.Addr(), "here", "edge", "gone"),
+		member("c2", s.cache.Addr(), "here", "edge", "ready")) + "\nnonsense\n")
+	f.Ended()
+	f = s.feed.Accept()
+	if got := f.Line(); got != "SUB 2" {
+		t.Errorf("resumed with %q", got)
+	}
+	if got := old.Ended(); got != "" {
+		t.Errorf("the cache that has gone got %q", got)
+	}
+	cl.Submit(2, "", fields("media", ref2)...)
+	c := s.cache.Accept()
+	c.Command()
+	c.Answer(ref2, "OK", "n=HIT", "new")
+	s.want(cl.Reply(), nettest.Reply{Seq: 2, Body: "new", Good: true})
+}
+
+// A stop answers what was taken, and what still comes for a while, before the program ends without an error.
+func TestStopAnswersWhatWasTaken(t *testing.T) {
+	s := start(t)
+	f := s.feed.Accept()
+	f.Line()
+	cl := s.client()
+	if r := cl.Heartbeat(1); !r.Good {
+		t.Error("not ready with the feed up")
+	}
+	cl.Submit(2, "", fields("media", ref1)...)
+	c := s.cache.Accept()
+	c.Command()
+	s.p.loop.Do(s.p.stop)
+	if r := cl.Heartbeat(3); r.Good {
+		t.Error("ready while stopping")
+	}
+	late := s.client()
+	late.Submit(1, "", fields("media", ref2)...)
+	c.Command()
+	c.Answer(ref2, "OK", "n=HIT", "late")
+	s.want(late.Reply(), nettest.Reply{Seq: 1, Body: "late", Good: true})
+	c.Answer(ref1, "OK", "n=HIT", "taken")
+	s.want(cl.Reply(), nettest.Reply{Seq: 2, Body: "taken", Good: true})
+	if err := <-s.ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -143,7 +143,7 @@
 	if c.Seed, err = strconv.ParseUint(d.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %q is no hex number of 64 bits", d.Seed)
 	}
-	if len(d.Settings) == 0 {
+	if len(d.Settings) == 0 || string(d.Settings) == "null" {
 		return nil, errors.New("settings: missing")
 	}
 	if err := json.Unmarshal(d.Settings, &c.Settings); err != nil {
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,63 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const good = `{"name":"n1","listen":"127.0.0.1:8080","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"feed":"127.0.0.1:2379",
+ "known":{"n":1,"events":[{"n":1}]},
+ "settings":{"services":[{"name":"a","aim":1,"deadline":5000000000}],
+  "ceilings":{"connectTimeout":400000000,"keepalive":15000000000,"streamsPerConn":64,"openCap":100}}}`
+
+func TestLimitsFollowTheConfiguration(t *testing.T) {
+	c, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := c.Limits
+	got := []any{l.ClientConns, l.ConnectTimeout, l.PeerIdle, l.StreamsPerConn, l.OpenRequests, l.DrainMost}
+	want := []any{341, 400 * time.Millisecond, 15 * time.Second, 64, 100, 5650 * time.Millisecond}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+	// gnet's accept ends the engine when descriptors run out: the shares must leave a reserve.
+	if sum := l.ClientConns + l.PeerConns; sum > l.Descriptors-24 {
+		t.Errorf("%d descriptors shared out of %d", sum, l.Descriptors)
+	}
+	if held := int64(l.BufferCount*l.BufferSize + l.TotalBacklog); held > l.MemoryBytes {
+		t.Errorf("bodies may hold %d bytes of %d", held, l.MemoryBytes)
+	}
+}
+
+func TestBadConfigurationNamesItsField(t *testing.T) {
+	for _, c := range []struct{ from, to, field string }{
+		{`"name":"n1"`, `"name":""`, "name"},
+		{`"name":"n1"`, `"name":7`, "name"},
+		{`"listen":"127.0.0.1:8080"`, `"listen":"nowhere"`, "listen"},
+		{`"feed":"127.0.0.1:2379"`, `"feed":""`, "feed"},
+		{`"seed":"8c1f30d27a5be964"`, `"seed":"x"`, "seed"},
+		{`"cores":1.0`, `"cores":0`, "limits.cores"},
+		{`"memory_mb":192`, `"memory_mb":"much"`, "limits.memory_mb"},
+		{`"memory_mb":192`, `"memory_mb":1`, "limits.memory_mb"},
+		{`"sockets":1024`, `"sockets":3`, "limits.sockets"},
+		{`"settings":{`, `"settings":null,"x":{`, "settings"},
+		{`"aim":1`, `"aim":"1"`, "settings"},
+		{good, `{`, "config"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, c.from, c.to, 1)))
+		if err == nil || !strings.HasPrefix(err.Error(), c.field) {
+			t.Errorf("%s: error %v, want one that names %s", c.to, err, c.field)
+		}
+	}
+}
+
+func TestEnvironmentMustNotContradict(t *testing.T) {
+	if _, err := Load(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "EDGE_CONFIG") {
+		t.Errorf("no EDGE_CONFIG: %v", err)
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -26,7 +26,6 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
 
 	"shaleyard/internal/caches"
 	"shaleyard/internal/director"
@@ -52,12 +51,16 @@
 	Boot func()
 	// Front takes accepted connections.
 	Front Front
+	// Logf takes gnet's warnings and errors.
+	Logf func(format string, a ...any)
 	// Rejected counts the streams that were closed for what came on them, by reason.
 	Rejected func(reason error)
 
 	Agenda *director.Agenda
 	Now    func() rules.Time
 
+	address string
+
 	eng   gnet.Engine
 	el    gnet.EventLoop
 	bell  net.Conn
@@ -71,8 +74,8 @@
 // Run listens on the address and serves until Stop.
 func (l *Loop) Run(address string) error {
 	err := gnet.Run(l, "tcp://"+address, gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true),
-		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogLevel(logging.ErrorLevel),
-		gnet.WithTicker(true), gnet.WithWriteBufferCap(64<<10))
+		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(logger{l.Logf}), gnet.WithTicker(true),
+		gnet.WithWriteBufferCap(64<<10))
 	if l.alarm != nil {
 		l.alarm.Stop()
 	}
@@ -82,6 +85,18 @@
 	return l.err
 }
 
+// logger passes on what gnet has to say in earnest.
+type logger struct{ logf func(string, ...any) }
+
+func (l logger) Debugf(string, ...any)          {}
+func (l logger) Infof(string, ...any)           {}
+func (l logger) Warnf(format string, a ...any)  { l.logf("gnet: "+format, a...) }
+func (l logger) Errorf(format string, a ...any) { l.logf("gnet: "+format, a...) }
+func (l logger) Fatalf(format string, a ...any) { l.logf("gnet: "+format, a...) }
+
+// Address is where the loop listens; it is known from Boot on.
+func (l *Loop) Address() string { return l.address }
+
 // Stop ends Run; connections are closed.
 func (l *Loop) Stop() {
 	l.mu.Lock()
@@ -108,9 +123,29 @@
 // OnBoot implements gnet.EventHandler. The engine has no event loop yet: the doorbell must wait for OnTick.
 func (l *Loop) OnBoot(eng gnet.Engine) gnet.Action {
 	l.eng = eng
+	if err := l.locate(); err != nil {
+		l.err = fmt.Errorf("listener: %w", err)
+		return gnet.Shutdown
+	}
 	return gnet.None
 }
 
+// locate asks the listener for its address, as the configured one may leave the port open.
+func (l *Loop) locate() error {
+	fd, err := l.eng.Dup()
+	if err != nil {
+		return err
+	}
+	f := os.NewFile(uintptr(fd), "listener")
+	defer f.Close()
+	ln, err := net.FileListener(f)
+	if err != nil {
+		return err
+	}
+	l.address = ln.Addr().String()
+	return ln.Close()
+}
+
 // OnTick implements gnet.EventHandler. Its first call comes when the event loop is there, aside of it, and
 // registers the doorbell; there is nothing to do in later ones.
 func (l *Loop) OnTick() (time.Duration, gnet.Action) {
