--- a/rules/rules.go
+++ b/rules/rules.go
@@ -453,13 +453,23 @@
 	return full
 }
 
+// retryAfter is for how long a refused client is asked to stay away: as long as a request with no permitted
+// target waits here. Guards against retries at once, which find the same jam; longer, and in an overload
+// what comes back comes too late to be served in time.
+func (d *Router) retryAfter() time.Duration {
+	if !d.s.Ceilings.RetryAfter {
+		return 0
+	}
+	return min(d.s.Ceilings.MaxRetryAfter, holdFor+time.Duration(d.rng.Int64N(int64(holdFor))))
+}
+
 // end is the one place where a request is answered by us. A refusal is given where the rules allow it.
 func (d *Router) end(r *request) {
 	defer d.forget(r)
 	c := &d.s.Services[r.Class]
 	ran := slices.ContainsFunc(r.tries, func(a *attempt) bool { return a.mayRun })
 	if c.Effect == "read_like" || !ran || (c.Effect == "idempotency_key" && c.Group == "all") {
-		d.do(Refuse{ID: r.ID})
+		d.do(Refuse{ID: r.ID, RetryAfter: d.retryAfter()})
 		return
 	}
 	d.do(Fail{ID: r.ID})
