Answer a request that is given up at once: hold it no longer than it may be sent

Cause: rules.go, hold doubles its wait up to 3.2 s without regard to advance, which gives a request up once it is older than half its aim; so a doomed request waited on for its refusal.

Change: a wait ends at half the aim, and is one holding time where that has passed (a full cache's lesson).

The test fails without the line.

--- a/rules/refusal_test.go
+++ b/rules/refusal_test.go
@@ -33,3 +33,18 @@
 		}
 	}
 }
+
+// A request that is bound to be given up must not be held on: its answer is owed at once.
+func TestGivenUpIsAnsweredAtOnce(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(t, siteSettings(), seed)
+		w.list(Cached, siteMembers(4)...)
+		w.list(Full)
+		o := w.read(1, 7, 0)
+		limit := w.s.Services[0].Aim/2 + holdFor
+		w.run(w.now + limit)
+		if !o.ended {
+			t.Fatalf("seed %d: still held %v after it came", seed, limit)
+		}
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -205,10 +205,12 @@
 	}
 }
 
-// hold keeps a request back for a moment that doubles each time, with jitter so that held requests spread.
+// hold keeps a request back for a moment that doubles each time, with jitter so that held requests spread,
+// and not past the time at which it would be given up: the answer to that is owed at once.
 func (d *Router) hold(r *request) {
 	wait := holdFor << min(r.holds, 5)
 	wait += time.Duration(d.rng.Int64N(int64(wait)))
+	wait = min(wait, max(holdFor, r.since+d.s.Services[r.Class].Aim/2-d.now))
 	r.holds, r.waiting = r.holds+1, true
 	d.do(SetTimer{Token: requestTimer | uint64(r.ID), At: min(d.now+wait, r.GiveUpAt)})
 }
