Keep connections to a cache's new life when the news of its start come late

Seen in review: caches.go, Join closed every connection of a member whose start time changed. The feed tells of a start seconds late, so by then attempts run over connections to the new process, and closing them ends repayments as "may have run". Now only what was opened before the start is closed; a test holds that. Also: both sides closed idle connections after the same time, so an attempt could cross the peer's close; ours go at three quarters of it.

With it, no change of behaviour: the socket interfaces stand once, in internal/loop, and the last times and counts outside config.Limits moved into it.

--- a/cmd/shaleyard/main.go
+++ b/cmd/shaleyard/main.go
@@ -16,8 +16,6 @@
 	"syscall"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
-
 	"shaleyard/internal/buffer"
 	"shaleyard/internal/caches"
 	"shaleyard/internal/clients"
@@ -96,7 +94,7 @@
 	l, s := p.limits, &c.Settings
 	p.pool = buffer.NewPool(l.BufferSize, l.BufferCount)
 	var err error
-	p.director, err = director.New(s, c.Seed, l.OpenRequests, &p.agenda, p.clock.now, p.log.Printf)
+	p.director, err = director.New(s, c.Seed, l, &p.agenda, p.clock.now, p.log.Printf)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -130,7 +128,7 @@
 // front hands accepted connections to the clients' server.
 type front struct{ p *program }
 
-func (f front) Accept(c gnet.Conn) loop.Session {
+func (f front) Accept(c loop.Conn) loop.Session {
 	if s := f.p.clients.Accept(c); s != nil {
 		return s
 	}
@@ -165,7 +163,7 @@
 		p.loop.Stop()
 		return
 	}
-	p.agenda.At(now+5*time.Millisecond, p.drained)
+	p.agenda.At(now+p.limits.DrainCheck, p.drained)
 }
 
 // report writes all counters as one line.
--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -12,31 +12,10 @@
 	"shaleyard/internal/buffer"
 	"shaleyard/internal/config"
 	"shaleyard/internal/director"
+	"shaleyard/internal/loop"
 	"shaleyard/rules"
 )
 
-// Conn is a dialled connection as the event loop gives it. A write never blocks; what the socket does not
-// take at once is kept and counted by OutboundBuffered.
-type Conn interface {
-	Writev([][]byte) (int, error)
-	OutboundBuffered() int
-	Close() error
-}
-
-// Stream is what the event loop hands a dialled connection's life to, all on the loop. Opened or Failed
-// comes once; Closed follows Opened.
-type Stream interface {
-	Opened(Conn)
-	Failed(error)
-	Data([]byte) error
-	Closed()
-}
-
-// Dialer opens connections without blocking the loop, within a time limit.
-type Dialer interface {
-	Dial(address string, limit time.Duration, s Stream)
-}
-
 // Ender takes the ends of attempts; it is the director.
 type Ender interface {
 	Ended(director.Handle, director.Ending)
@@ -57,7 +36,7 @@
 	limits *config.Limits
 	fields []string // of load reports, by the settings' names
 	pool   *buffer.Pool
-	dialer Dialer
+	dialer loop.Dialer
 	ender  Ender
 	agenda *director.Agenda
 	now    func() rules.Time
@@ -83,11 +62,12 @@
 	f      *Fleet
 	p      *peer
 	handle director.Handle
-	link   Conn
+	link   loop.Conn
 	parser parser
 	open   map[string]*call
 	line   []*call               // wait until it is up
 	ghosts map[string]rules.Time // given up here; an answer may still cross
+	up     rules.Time            // when it was opened
 	heard  rules.Time
 	silent bool // takes no new attempts
 	closed bool
@@ -106,7 +86,7 @@
 }
 
 // NewFleet returns a fleet without members. Attempts' ends go to the ender.
-func NewFleet(l *config.Limits, s *rules.Settings, pool *buffer.Pool, d Dialer, e Ender, a *director.Agenda,
+func NewFleet(l *config.Limits, s *rules.Settings, pool *buffer.Pool, d loop.Dialer, e Ender, a *director.Agenda,
 	now func() rules.Time) *Fleet {
 	return &Fleet{limits: l, fields: s.Report.Fields, pool: pool, dialer: d, ender: e, agenda: a, now: now,
 		peers: map[rules.Host]*peer{}, calls: map[director.Handle]*call{},
@@ -128,10 +108,15 @@
 	if p.address == address && p.started == started {
 		return
 	}
+	moved := p.address != address
 	p.address, p.started = address, started
 	f.Counters.Restarted++
 	for _, c := range append([]*conn(nil), p.conns...) {
-		c.shut()
+		// The news come late: what was opened since the start belongs to the new life already, and to
+		// close it would lose what is out.
+		if moved || (c.link != nil && c.up < started) {
+			c.shut()
+		}
 	}
 }
 
@@ -186,7 +171,7 @@
 		if _, taken := c.open[id]; taken || c.silent || c.closed || len(c.open) >= c.f.limits.StreamsPerConn {
 			continue
 		}
-		if _, ghost := c.ghosts[id]; ghost {
+		if at, ghost := c.ghosts[id]; ghost && c.f.now()-at <= c.f.limits.PeerGhost {
 			continue
 		}
 		if c.link != nil && c.link.OutboundBuffered() > c.f.limits.PeerBacklog {
@@ -291,14 +276,12 @@
 	return true
 }
 
-// ghostLife is how long an answer that crosses a STOP is looked out for.
-const ghostLife = 5 * time.Second
-
+// ghost looks out for an answer that crosses the STOP of its attempt.
 func (c *conn) ghost(id string) {
 	now := c.f.now()
 	if len(c.ghosts) >= 4*c.f.limits.StreamsPerConn {
 		for g, at := range c.ghosts {
-			if now-at > ghostLife {
+			if now-at > c.f.limits.PeerGhost {
 				delete(c.ghosts, g)
 			}
 		}
@@ -328,8 +311,8 @@
 }
 
 // Opened is the end of a dial. What was given up meanwhile is not sent.
-func (c *conn) Opened(link Conn) {
-	c.link, c.heard = link, c.f.now()
+func (c *conn) Opened(link loop.Conn) {
+	c.link, c.up, c.heard = link, c.f.now(), c.f.now()
 	if c.closed {
 		link.Close()
 		return
--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -11,6 +11,7 @@
 	"shaleyard/internal/buffer"
 	"shaleyard/internal/config"
 	"shaleyard/internal/director"
+	"shaleyard/internal/loop"
 	"shaleyard/rules"
 )
 
@@ -19,7 +20,7 @@
 	f      *Fleet
 	agenda director.Agenda
 	clock  rules.Time
-	dials  []Stream
+	dials  []loop.Stream
 	ends   map[director.Handle]rules.Result
 }
 
@@ -39,7 +40,7 @@
 func (l *link) OutboundBuffered() int { return 0 }
 func (l *link) Close() error          { l.closed = true; return nil }
 
-func (b *bench) Dial(_ string, _ time.Duration, s Stream) { b.dials = append(b.dials, s) }
+func (b *bench) Dial(_ string, _ time.Duration, s loop.Stream) { b.dials = append(b.dials, s) }
 func (b *bench) Ended(h director.Handle, e director.Ending) {
 	b.ends[h] = e.Result
 	e.Body.Release()
@@ -47,7 +48,7 @@
 
 func newBench() *bench {
 	b := &bench{clock: 1000 * time.Second, ends: map[director.Handle]rules.Result{}}
-	l := &config.Limits{PeerConns: 4, StreamsPerConn: 2, PeerIdle: 10 * time.Second, PeerBacklog: 1000,
+	l := &config.Limits{PeerConns: 4, StreamsPerConn: 2, PeerIdle: 10 * time.Second, PeerGhost: 5 * time.Second, PeerBacklog: 1000,
 		AnswerBody: 100, AnswerFields: 100}
 	s := &rules.Settings{Report: rules.ReportSettings{Fields: []string{"active", "x1"}}}
 	b.f = NewFleet(l, s, buffer.NewPool(64, 64), b, b, &b.agenda, func() rules.Time { return b.clock })
@@ -159,7 +160,7 @@
 	b.send(1, "r1")
 	l := &link{}
 	b.dials[0].Opened(l)
-	b.f.Join(1, "c1", "a", 5)
+	b.f.Join(1, "c1", "a", b.clock+1)
 	b.want(t, map[director.Handle]rules.Result{1: rules.Reset})
 	b.send(2, "r2")
 	if len(b.dials) != 2 || !l.closed {
@@ -174,6 +175,23 @@
 	}
 }
 
+// News of a start come late. What was opened to the new life already must stay: a reset would fail the
+// repayments that are out on it.
+func TestLateNewsOfAStartKeepNewConnections(t *testing.T) {
+	b := newBench()
+	b.send(1, "r1")
+	b.send(2, "r2")
+	b.send(3, "r3") // on a second connection, still being dialled when the news come
+	l := &link{}
+	b.clock += time.Second
+	b.dials[0].Opened(l)
+	b.f.Join(1, "c1", "a", b.clock-time.Second/2)
+	if l.closed {
+		t.Error("a connection to the new life was closed")
+	}
+	b.want(t, map[director.Handle]rules.Result{})
+}
+
 func TestBadAnswerFailsItsAttempt(t *testing.T) {
 	b := newBench()
 	b.send(1, "r1")
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -13,17 +13,10 @@
 	"shaleyard/internal/buffer"
 	"shaleyard/internal/config"
 	"shaleyard/internal/director"
+	"shaleyard/internal/loop"
 	"shaleyard/rules"
 )
 
-// Conn is a client's connection as the event loop gives it. A write never blocks; what the socket does not
-// take at once is kept and counted by OutboundBuffered.
-type Conn interface {
-	Writev([][]byte) (int, error)
-	OutboundBuffered() int
-	Close() error
-}
-
 // Taker takes requests; it is the director.
 type Taker interface {
 	Submit(q director.Request, r director.Replier, token uint64) (director.Handle, bool)
@@ -73,7 +66,7 @@
 // Session is one client connection.
 type Session struct {
 	s       *Server
-	c       Conn
+	c       loop.Conn
 	handle  director.Handle
 	head    []byte // of a frame's length
 	want    int    // bytes of the frame under way; 0: none
@@ -85,7 +78,7 @@
 }
 
 // Accept takes a connection in, or returns nil where clients hold all that they may.
-func (s *Server) Accept(c Conn) *Session {
+func (s *Server) Accept(c loop.Conn) *Session {
 	x := &Session{s: s, c: c, open: map[int32]director.Handle{}, got: s.pool.Chain()}
 	h, ok := s.conns.Add(x)
 	if !ok {
@@ -310,7 +303,7 @@
 	if q.Known != "" && !token(q.Known) {
 		return fmt.Errorf("known: %.40q is no tag", q.Known)
 	}
-	allow, err := number("allow", f["allow"], 1, 10*60*1000)
+	allow, err := number("allow", f["allow"], 1, int(s.limits.LongestAllow/time.Millisecond))
 	if err != nil {
 		return err
 	}
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -56,7 +56,7 @@
 func newBench() *bench {
 	b := &bench{clock: 1000 * time.Second, pool: buffer.NewPool(64, 64)}
 	l := &config.Limits{ClientConns: 2, ClientOpen: 2, RequestFrame: 4096, RequestBody: 100, RequestFields: 16,
-		ClientBacklog: 10_000, TotalBacklog: 15_000, ClientIdle: 30 * time.Second}
+		ClientBacklog: 10_000, TotalBacklog: 15_000, ClientIdle: 30 * time.Second, LongestAllow: time.Minute}
 	s := &rules.Settings{Services: []rules.Class{{Name: "pages"}, {Name: "media"}}}
 	b.s = NewServer(l, s, b.pool, b, &b.agenda, func() rules.Time { return b.clock })
 	return b
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -48,12 +48,15 @@
 	TotalBacklog  int           // bytes all clients together may leave unread
 	ClientIdle    time.Duration // a client connection with no open request, or with part of a frame
 	OpenRequests  int           // requests taken and not answered
+	LongestAllow  time.Duration // that a client may wait
+	Overdue       time.Duration // past its time, a request without an answer is failed
 
 	// Caches, parents, origin.
 	PeerConns      int           // descriptors for dialled connections
 	StreamsPerConn int           // attempts open on one connection
 	ConnectTimeout time.Duration // a connection not up by then has failed
 	PeerIdle       time.Duration // an idle connection is closed after this
+	PeerGhost      time.Duration // an answer that crosses a STOP is looked out for so long
 	PeerBacklog    int           // bytes a peer may leave unread
 	AnswerBody     int           // bytes of an object
 	AnswerFields   int           // bytes of an answer's fields
@@ -71,6 +74,7 @@
 
 	// Stop.
 	DrainAccept time.Duration // after SIGTERM connections and requests are still taken for so long
+	DrainCheck  time.Duration // between looks whether all is answered
 	DrainMost   time.Duration // after SIGTERM the program ends no later
 }
 
@@ -189,11 +193,14 @@
 		TotalBacklog:  memory / 6,
 		ClientIdle:    30 * time.Second,
 		OpenRequests:  4096,
+		LongestAllow:  10 * time.Minute,
+		Overdue:       25 * time.Millisecond,
 
 		PeerConns:      sockets - sockets/3 - reserve,
 		StreamsPerConn: 100,
 		ConnectTimeout: time.Second,
 		PeerIdle:       15 * time.Second,
+		PeerGhost:      5 * time.Second,
 		PeerBacklog:    1 << 20,
 		AnswerBody:     240_000,
 		AnswerFields:   4 << 10,
@@ -207,6 +214,7 @@
 		BufferSize: 16 << 10,
 
 		DrainAccept: 700 * time.Millisecond,
+		DrainCheck:  5 * time.Millisecond,
 		DrainMost:   longest + 650*time.Millisecond,
 	}
 	l.BufferCount = memory / 3 / l.BufferSize
@@ -217,7 +225,7 @@
 		l.ConnectTimeout = v
 	}
 	if v := t.Ceilings.Keepalive; v > 0 {
-		l.PeerIdle = v
+		l.PeerIdle = v * 3 / 4 // before the peer does: an attempt that crosses its close may have run
 	}
 	if v := t.Ceilings.StreamsPerConn; v > 0 {
 		l.StreamsPerConn = min(v, math.MaxInt16)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -21,7 +21,7 @@
 	}
 	l := c.Limits
 	got := []any{l.ClientConns, l.ConnectTimeout, l.PeerIdle, l.StreamsPerConn, l.OpenRequests, l.DrainMost}
-	want := []any{341, 400 * time.Millisecond, 15 * time.Second, 64, 100, 5650 * time.Millisecond}
+	want := []any{341, 400 * time.Millisecond, 11250 * time.Millisecond, 64, 100, 5650 * time.Millisecond}
 	if d := cmp.Diff(want, got); d != "" {
 		t.Error(d)
 	}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"shaleyard/internal/buffer"
+	"shaleyard/internal/config"
 	"shaleyard/rules"
 )
 
@@ -100,6 +101,7 @@
 
 	router   *rules.Router
 	settings *rules.Settings
+	limits   *config.Limits
 	peers    Peers
 	agenda   *Agenda
 	now      func() rules.Time
@@ -138,19 +140,15 @@
 	last *request
 }
 
-// overdueAfter is how long past the client's patience a request without an answer is failed here. The
-// module ends each request by then; this only guards the rule of one answer against a fault of its own.
-const overdueAfter = 25 * time.Millisecond
-
-// New returns a director for the settings. It can hold most open requests.
-func New(s *rules.Settings, seed uint64, most int, agenda *Agenda, now func() rules.Time,
+// New returns a director for the settings, within the limits.
+func New(s *rules.Settings, seed uint64, l *config.Limits, agenda *Agenda, now func() rules.Time,
 	logf func(string, ...any)) (*Director, error) {
 	r, err := rules.New(*s, seed)
 	if err != nil {
 		return nil, err
 	}
-	return &Director{router: r, settings: s, agenda: agenda, now: now, logf: logf,
-		requests: NewTable[*request](most), attempts: NewTable[*attempt](maxSlots),
+	return &Director{router: r, settings: s, limits: l, agenda: agenda, now: now, logf: logf,
+		requests: NewTable[*request](l.OpenRequests), attempts: NewTable[*attempt](maxSlots),
 		names: map[rules.Host]string{}}, nil
 }
 
@@ -170,7 +168,8 @@
 	now := d.now()
 	r.handle, r.giveUp = h, now+q.Allow
 	d.Counters.Taken++
-	d.agenda.Set(&r.overdue, r.giveUp+overdueAfter, func() {
+	// The module ends each request by its time; this only guards the rule of one answer against a fault.
+	d.agenda.Set(&r.overdue, r.giveUp+d.limits.Overdue, func() {
 		d.Counters.Overdue++
 		d.logf("request %s overdue: failed by the guard", r.Ref)
 		d.answer(r, Answer{Verdict: Failed})
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -11,9 +11,9 @@
 	"strconv"
 	"time"
 
-	"shaleyard/internal/caches"
 	"shaleyard/internal/config"
 	"shaleyard/internal/director"
+	"shaleyard/internal/loop"
 	"shaleyard/rules"
 )
 
@@ -35,7 +35,7 @@
 
 	limits  *config.Limits
 	address string
-	dialer  caches.Dialer
+	dialer  loop.Dialer
 	sink    Sink
 	agenda  *director.Agenda
 	now     func() rules.Time
@@ -48,7 +48,7 @@
 }
 
 // New returns a follower of the feed at the address, for the settings' zones and kinds.
-func New(l *config.Limits, s *rules.Settings, address string, d caches.Dialer, sink Sink,
+func New(l *config.Limits, s *rules.Settings, address string, d loop.Dialer, sink Sink,
 	a *director.Agenda, now func() rules.Time, logf func(string, ...any)) *Follower {
 	f := &Follower{limits: l, address: address, dialer: d, sink: sink, agenda: a, now: now,
 		zones: map[string]int{}, kinds: map[string]int{}, logf: logf}
@@ -110,11 +110,11 @@
 // stream is one connection to the feed.
 type stream struct {
 	f    *Follower
-	link caches.Conn
+	link loop.Conn
 	line []byte
 }
 
-func (s *stream) Opened(c caches.Conn) {
+func (s *stream) Opened(c loop.Conn) {
 	if s.f.stream != s {
 		c.Close()
 		return
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"shaleyard/internal/caches"
 	"shaleyard/internal/config"
 	"shaleyard/internal/director"
+	"shaleyard/internal/loop"
 	"shaleyard/rules"
 )
 
@@ -20,7 +20,7 @@
 	f      *Follower
 	agenda director.Agenda
 	clock  rules.Time
-	dials  []caches.Stream
+	dials  []loop.Stream
 	told   []string
 }
 
@@ -39,7 +39,7 @@
 func (l *link) OutboundBuffered() int { return 0 }
 func (l *link) Close() error          { l.closed = true; return nil }
 
-func (b *bench) Dial(_ string, _ time.Duration, s caches.Stream) { b.dials = append(b.dials, s) }
+func (b *bench) Dial(_ string, _ time.Duration, s loop.Stream) { b.dials = append(b.dials, s) }
 func (b *bench) Members(full bool, version uint64, list []director.Member) {
 	for _, m := range list {
 		b.told = append(b.told, fmt.Sprint(full, version, m.Name, m.Address, m.Zone, m.Kind, m.State, m.Started))
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -30,20 +30,39 @@
 
 	"github.com/panjf2000/gnet/v2"
 
-	"shaleyard/internal/caches"
 	"shaleyard/internal/director"
 	"shaleyard/rules"
 )
 
-// Session takes what an accepted connection brings.
+// Conn is a connection as its owner sees it. A write never blocks; what the socket does not take at once is
+// kept and counted by OutboundBuffered. Close comes into effect after the caller has returned.
+type Conn interface {
+	Writev([][]byte) (int, error)
+	OutboundBuffered() int
+	Close() error
+}
+
+// Session takes what a connection brings, on the loop. An error of Data closes the connection.
 type Session interface {
 	Data([]byte) error
 	Closed()
 }
 
+// Stream is the session of a dialled connection. Either Opened or Failed comes, once; Closed follows Opened.
+type Stream interface {
+	Session
+	Opened(Conn)
+	Failed(error)
+}
+
+// Dialer opens connections without blocking the loop, within a time limit.
+type Dialer interface {
+	Dial(address string, limit time.Duration, s Stream)
+}
+
 // Front accepts connections; nil turns one away.
 type Front interface {
-	Accept(c gnet.Conn) Session
+	Accept(c Conn) Session
 }
 
 // Loop is the event loop. Its fields are set before Run.
@@ -259,10 +278,10 @@
 }
 
 // dial carries a stream from its dial to OnOpen.
-type dial struct{ stream caches.Stream }
+type dial struct{ stream Stream }
 
 // Dial opens a connection within the limit, off the loop, and hands the result in on the loop.
-func (l *Loop) Dial(address string, limit time.Duration, s caches.Stream) {
+func (l *Loop) Dial(address string, limit time.Duration, s Stream) {
 	go func() {
 		c, err := net.DialTimeout("tcp", address, limit)
 		if err == nil {
