Let a connection that has been silent for a second take nothing new

Change: silence counts from the first write since something was heard, and only after a second; then the next attempt dials. The director's Suspect is gone.

--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -40,6 +40,7 @@
 	ender  Ender
 	agenda *director.Agenda
 	now    func() rules.Time
+	logf   func(string, ...any)
 	peers  map[rules.Host]*peer
 	calls  map[director.Handle]*call
 	conns  *director.Table[*conn]
@@ -55,6 +56,7 @@
 	started rules.Time
 	conns   []*conn
 	left    bool
+	logAt   rules.Time // no line on it before
 }
 
 // conn is a connection: being dialled while link is nil.
@@ -68,8 +70,8 @@
 	line   []*call               // wait until it is up
 	ghosts map[string]rules.Time // given up here; an answer may still cross
 	up     rules.Time            // when it was opened
-	heard  rules.Time
-	silent bool // takes no new attempts
+	asked  rules.Time            // first write since something was heard; 0: none
+	spent  bool                  // takes no new attempts
 	closed bool
 	idle   director.Entry
 }
@@ -87,12 +89,20 @@
 
 // NewFleet returns a fleet without members. Attempts' ends go to the ender.
 func NewFleet(l *config.Limits, s *rules.Settings, pool *buffer.Pool, d loop.Dialer, e Ender, a *director.Agenda,
-	now func() rules.Time) *Fleet {
-	return &Fleet{limits: l, fields: s.Report.Fields, pool: pool, dialer: d, ender: e, agenda: a, now: now,
+	now func() rules.Time, logf func(string, ...any)) *Fleet {
+	return &Fleet{limits: l, fields: s.Report.Fields, pool: pool, dialer: d, ender: e, agenda: a, now: now, logf: logf,
 		peers: map[rules.Host]*peer{}, calls: map[director.Handle]*call{},
 		conns: director.NewTable[*conn](l.PeerConns)}
 }
 
+// log writes a line on a peer, at most one a second.
+func (f *Fleet) log(p *peer, format string, a ...any) {
+	if now := f.now(); now >= p.logAt {
+		p.logAt = now + time.Second
+		f.logf("%s at %s: %s", p.name, p.address, fmt.Sprintf(format, a...))
+	}
+}
+
 // Conns is the number of connections held or being opened.
 func (f *Fleet) Conns() int { return f.conns.Len() }
 
@@ -166,14 +176,21 @@
 
 // pick is the peer's first connection with room: attempts gather on few connections, as each costs the peer
 // a place. One on which the same id was given up is passed over, as its late answer could not be told apart.
+// So is a silent one: a machine that has vanished leaves its connections open, and a new dial proves whether
+// it is there.
 func (p *peer) pick(id string) *conn {
 	for _, c := range p.conns {
-		if _, taken := c.open[id]; taken || c.silent || c.closed || len(c.open) >= c.f.limits.StreamsPerConn {
+		if _, taken := c.open[id]; taken || c.spent || c.closed || len(c.open) >= c.f.limits.StreamsPerConn {
 			continue
 		}
 		if at, ghost := c.ghosts[id]; ghost && c.f.now()-at <= c.f.limits.PeerGhost {
 			continue
 		}
+		if c.asked != 0 && c.f.now()-c.asked >= c.f.limits.PeerSilence {
+			c.f.Counters.SilentConns++
+			c.f.log(p, "silent for %v with %d attempts out: dialling anew", c.f.now()-c.asked, len(c.open))
+			continue
+		}
 		if c.link != nil && c.link.OutboundBuffered() > c.f.limits.PeerBacklog {
 			c.f.Counters.Backlogged++
 			continue
@@ -208,6 +225,9 @@
 	iov = append(r.Body.Segments(iov), []byte("\r\n"))
 	f.head, f.iov = b, iov
 	k.written = true
+	if k.c.asked == 0 {
+		k.c.asked = f.now()
+	}
 	f.Counters.Sent++
 	for _, p := range iov {
 		f.Counters.BytesOut += uint64(len(p))
@@ -286,23 +306,13 @@
 			}
 		}
 		if len(c.ghosts) >= 4*c.f.limits.StreamsPerConn {
-			c.silent = true // gives up so much that it can't be told apart: let it run dry
+			c.spent = true // gives up so much that it can't be told apart: let it run dry
 			return
 		}
 	}
 	c.ghosts[id] = now
 }
 
-// Suspect tells that an attempt got no answer in time. Where its connection has been silent all along, the
-// machine may have vanished without a word: new attempts go over a new connection, which then fails and
-// proves that they never ran.
-func (f *Fleet) Suspect(h director.Handle) {
-	if k := f.calls[h]; k != nil && k.written && k.c.heard <= k.at && !k.c.silent {
-		k.c.silent = true
-		f.Counters.SilentConns++
-	}
-}
-
 func (f *Fleet) drop(k *call) {
 	delete(f.calls, k.h)
 	if k.c.open[k.id] == k {
@@ -312,7 +322,7 @@
 
 // Opened is the end of a dial. What was given up meanwhile is not sent.
 func (c *conn) Opened(link loop.Conn) {
-	c.link, c.up, c.heard = link, c.f.now(), c.f.now()
+	c.link, c.up = link, c.f.now()
 	if c.closed {
 		link.Close()
 		return
@@ -328,8 +338,9 @@
 }
 
 // Failed is the other end of a dial: nothing that waited for it has run.
-func (c *conn) Failed(error) {
+func (c *conn) Failed(err error) {
 	c.f.Counters.DialsFailed++
+	c.f.log(c.p, "connect failed with %d attempts waiting: %v", len(c.open), err)
 	c.gone(rules.ConnectFailed)
 }
 
@@ -337,6 +348,9 @@
 func (c *conn) Closed() {
 	if !c.closed {
 		c.f.Counters.Closed++
+		if len(c.open) > 0 {
+			c.f.log(c.p, "connection lost with %d attempts out", len(c.open))
+		}
 	}
 	c.gone(rules.Reset)
 }
@@ -386,7 +400,7 @@
 	if len(c.open) > 0 || c.closed {
 		return
 	}
-	if c.silent || c.p.left {
+	if c.spent || c.p.left {
 		c.shut()
 		return
 	}
@@ -399,8 +413,11 @@
 // Data takes what has come in. An error closes the connection.
 func (c *conn) Data(b []byte) error {
 	c.f.Counters.BytesIn += uint64(len(b))
-	c.heard = c.f.now()
+	c.asked = 0
 	err := c.parser.feed(b, c.take)
+	if c.asked == 0 && len(c.open) > 0 {
+		c.asked = c.f.now()
+	}
 	if c.closed {
 		c.parser.release() // closed by what an answer brought about, with the next one begun
 	}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -65,8 +65,6 @@
 	Send(attempt Handle, to rules.Host, c Call)
 	// Stop gives an attempt up and tells whether any of it may have been written.
 	Stop(attempt Handle) (written bool)
-	// Suspect tells that an attempt got no answer in time.
-	Suspect(attempt Handle)
 	Join(host rules.Host, name, address string, started rules.Time)
 	Leave(host rules.Host)
 }
@@ -360,7 +358,6 @@
 	r.out[a.no] = h
 	d.agenda.Set(&a.deadline, until, func() {
 		d.Counters.TimedOut++
-		d.peers.Suspect(h)
 		result := rules.TimedOut
 		if !d.peers.Stop(h) {
 			result = rules.ConnectFailed // nothing of it was written: it never ran
