Replace a lost feed at once, and keep to the process's own descriptor limit

Seen in review: feed.go waited 100 ms before it connected again after any loss, while what the feed has to tell counts as told; a stream that had been good is now replaced at once, one that never spoke still waits. config.go took limits.sockets as given, though the process may hold fewer, and gnet's accept ends the engine when descriptors run out; the smaller of the two counts now. Tests hold both and fail without.

--- a/cmd/shaleyard/main.go
+++ b/cmd/shaleyard/main.go
@@ -60,7 +60,11 @@
 }
 
 func run(getenv func(string) string, logTo io.Writer) error {
-	c, err := config.Load(getenv)
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
+		return fmt.Errorf("descriptors: %w", err)
+	}
+	c, err := config.Load(getenv, files.Cur)
 	if err != nil {
 		return err
 	}
--- a/cmd/shaleyard/stories_test.go
+++ b/cmd/shaleyard/stories_test.go
@@ -50,7 +50,7 @@
 		member("o", s.origin.Addr(), "hub", "origin", "ready"))
 	c, err := config.Parse(fmt.Appendf(nil, `{"name":"n1","listen":"127.0.0.1:0","feed":%q,"seed":"1",
 		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"n":1,"events":[%s]},"settings":%s}`,
-		s.feed.Addr(), known, settings))
+		s.feed.Addr(), known, settings), 1024)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -12,6 +12,7 @@
 	"shaleyard/internal/config"
 	"shaleyard/internal/director"
 	"shaleyard/internal/loop"
+	"shaleyard/internal/nettest"
 	"shaleyard/rules"
 )
 
@@ -24,22 +25,6 @@
 	ends   map[director.Handle]rules.Result
 }
 
-// link is a connection that keeps what is written.
-type link struct {
-	text   strings.Builder
-	closed bool
-}
-
-func (l *link) Writev(p [][]byte) (n int, err error) {
-	for _, b := range p {
-		l.text.Write(b)
-		n += len(b)
-	}
-	return n, nil
-}
-func (l *link) OutboundBuffered() int { return 0 }
-func (l *link) Close() error          { l.closed = true; return nil }
-
 func (b *bench) Dial(_ string, _ time.Duration, s loop.Stream) { b.dials = append(b.dials, s) }
 func (b *bench) Ended(h director.Handle, e director.Ending) {
 	b.ends[h] = e.Result
@@ -91,7 +76,7 @@
 	b.send(1, "r1")
 	b.dials[0].Failed(errors.New("refused"))
 	b.send(2, "r2")
-	b.dials[1].Opened(&link{})
+	b.dials[1].Opened(&nettest.Link{})
 	b.dials[1].Closed()
 	b.f.Send(3, 99, director.Call{Request: &director.Request{Ref: "r3"}})
 	b.want(t, map[director.Handle]rules.Result{1: rules.ConnectFailed, 2: rules.Reset, 3: rules.ConnectFailed})
@@ -106,17 +91,17 @@
 	if b.f.Stop(1) {
 		t.Error("an attempt that waits for its dial counts as written")
 	}
-	l := &link{}
+	l := &nettest.Link{}
 	b.dials[0].Opened(l)
-	if got := l.text.String(); got != "" {
+	if got := l.Text.String(); got != "" {
 		t.Errorf("after its stop %q was sent", got)
 	}
 	b.send(2, "r2")
 	if !b.f.Stop(2) {
 		t.Error("a written attempt counts as not written")
 	}
-	if !strings.HasSuffix(l.text.String(), bulk("STOP", "r2")) {
-		t.Errorf("no STOP in %q", l.text.String())
+	if !strings.HasSuffix(l.Text.String(), bulk("STOP", "r2")) {
+		t.Errorf("no STOP in %q", l.Text.String())
 	}
 }
 
@@ -125,13 +110,13 @@
 func TestSecondAttemptAvoidsTheStoppedOnesConnection(t *testing.T) {
 	b := newBench()
 	b.send(1, "r1")
-	b.dials[0].Opened(&link{})
+	b.dials[0].Opened(&nettest.Link{})
 	b.f.Stop(1)
 	b.send(2, "r1")
 	if len(b.dials) != 2 {
 		t.Fatalf("%d dials, want a second one", len(b.dials))
 	}
-	b.dials[1].Opened(&link{})
+	b.dials[1].Opened(&nettest.Link{})
 	b.dials[0].Data([]byte(bulk("r1", "OK", "n=HIT", "late")))
 	b.want(t, map[director.Handle]rules.Result{})
 	b.dials[1].Data([]byte(bulk("r1", "MISS", "-", "")))
@@ -143,7 +128,7 @@
 func TestSilentConnectionTakesNothingNew(t *testing.T) {
 	b := newBench()
 	b.send(1, "r1")
-	b.dials[0].Opened(&link{})
+	b.dials[0].Opened(&nettest.Link{})
 	b.f.Stop(1)
 	b.clock += 900 * time.Millisecond
 	b.send(2, "r2")
@@ -173,16 +158,16 @@
 func TestNewLifeGetsNewConnections(t *testing.T) {
 	b := newBench()
 	b.send(1, "r1")
-	l := &link{}
+	l := &nettest.Link{}
 	b.dials[0].Opened(l)
 	b.f.Join(1, "c1", "a", b.clock+1)
 	b.want(t, map[director.Handle]rules.Result{1: rules.Reset})
 	b.send(2, "r2")
-	if len(b.dials) != 2 || !l.closed {
-		t.Errorf("%d dials, old connection closed: %v", len(b.dials), l.closed)
+	if len(b.dials) != 2 || !l.Closed {
+		t.Errorf("%d dials, old connection closed: %v", len(b.dials), l.Closed)
 	}
 	b.f.Leave(1)
-	b.dials[1].Opened(&link{})
+	b.dials[1].Opened(&nettest.Link{})
 	b.dials[1].Data([]byte(bulk("r2", "OK", "-", "x")))
 	b.want(t, map[director.Handle]rules.Result{1: rules.Reset, 2: rules.OK})
 	if n := b.f.Conns(); n != 0 {
@@ -197,11 +182,11 @@
 	b.send(1, "r1")
 	b.send(2, "r2")
 	b.send(3, "r3") // on a second connection, still being dialled when the news come
-	l := &link{}
+	l := &nettest.Link{}
 	b.clock += time.Second
 	b.dials[0].Opened(l)
 	b.f.Join(1, "c1", "a", b.clock-time.Second/2)
-	if l.closed {
+	if l.Closed {
 		t.Error("a connection to the new life was closed")
 	}
 	b.want(t, map[director.Handle]rules.Result{})
@@ -211,7 +196,7 @@
 	b := newBench()
 	b.send(1, "r1")
 	b.send(2, "r2")
-	b.dials[0].Opened(&link{})
+	b.dials[0].Opened(&nettest.Link{})
 	b.dials[0].Data([]byte(bulk("r1", "SAME", "-", ""))) // no copy of the client was passed on
 	b.dials[0].Data([]byte(bulk("r2", "OK", "n=NEVER", "x")))
 	b.want(t, map[director.Handle]rules.Result{1: rules.Errored, 2: rules.Errored})
@@ -231,15 +216,15 @@
 func TestIdleConnectionIsClosed(t *testing.T) {
 	b := newBench()
 	b.send(1, "r1")
-	l := &link{}
+	l := &nettest.Link{}
 	b.dials[0].Opened(l)
 	b.dials[0].Data([]byte(bulk("r1", "OK", "l=inflight:7;x1:0.5", "x")))
 	b.agenda.Run(b.clock + 9*time.Second)
-	if l.closed {
+	if l.Closed {
 		t.Error("closed before the idle time")
 	}
 	b.agenda.Run(b.clock + 11*time.Second)
-	if !l.closed {
+	if !l.Closed {
 		t.Error("still open after the idle time")
 	}
 }
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -36,23 +36,6 @@
 }
 func (b *bench) Withdraw(director.Handle) { b.withdrawn++ }
 
-// wire is a connection that keeps what is written, and what a client leaves unread.
-type wire struct {
-	text   strings.Builder
-	unread int
-	closed bool
-}
-
-func (w *wire) Writev(p [][]byte) (n int, err error) {
-	for _, b := range p {
-		w.text.Write(b)
-		n += len(b)
-	}
-	return n, nil
-}
-func (w *wire) OutboundBuffered() int { return w.unread }
-func (w *wire) Close() error          { w.closed = true; return nil }
-
 func newBench() *bench {
 	b := &bench{clock: 1000 * time.Second, pool: buffer.NewPool(64, 64)}
 	l := &config.Limits{ClientConns: 2, ClientOpen: 2, RequestFrame: 4096, RequestBody: 100, RequestFields: 16,
@@ -74,7 +57,7 @@
 		nettest.SubmitFrame(2, "", request(ref)...)
 	for _, piece := range []int{1, 3, 64, 65, len(stream)} {
 		b := newBench()
-		x := b.s.Accept(&wire{})
+		x := b.s.Accept(&nettest.Link{})
 		for rest := stream; rest != ""; {
 			k := min(piece, len(rest))
 			if err := x.Data([]byte(rest[:k])); err != nil {
@@ -105,13 +88,13 @@
 		{"allow", "0"}, {"allow", "soon"}, {"lookup", ""}, {"chunk", "-1"}, {"tag", "256"}, {"room", "NaN"},
 		{"room", "-1"}, {"known", "a,up=b"}} {
 		b := newBench()
-		w := &wire{}
+		w := &nettest.Link{}
 		x := b.s.Accept(w)
 		if err := x.Data([]byte(nettest.SubmitFrame(1, "", append(request(ref), c.name, c.value)...))); err != nil {
 			t.Errorf("%v: %v", c, err)
 		}
-		if len(b.taken) != 0 || !strings.Contains(w.text.String(), c.name+":") {
-			t.Errorf("%v: taken %d, answered %q", c, len(b.taken), w.text.String())
+		if len(b.taken) != 0 || !strings.Contains(w.Text.String(), c.name+":") {
+			t.Errorf("%v: taken %d, answered %q", c, len(b.taken), w.Text.String())
 		}
 	}
 }
@@ -119,33 +102,33 @@
 // A client that does not read must lose its connection, not the program its memory.
 func TestBacklogIsBounded(t *testing.T) {
 	b := newBench()
-	w, w2 := &wire{}, &wire{}
+	w, w2 := &nettest.Link{}, &nettest.Link{}
 	x, y := b.s.Accept(w), b.s.Accept(w2)
-	if b.s.Accept(&wire{}) != nil {
+	if b.s.Accept(&nettest.Link{}) != nil {
 		t.Error("a third connection was taken")
 	}
 	x.Data([]byte(nettest.SubmitFrame(1, "", request(ref)...)))
-	w.unread = 9_990
+	w.Unread = 9_990
 	b.replier.Reply(b.tokens[0], director.Answer{Verdict: director.Served})
-	if !w.closed || w.text.Len() > 0 {
-		t.Errorf("closed %v with %d bytes written", w.closed, w.text.Len())
+	if !w.Closed || w.Text.Len() > 0 {
+		t.Errorf("closed %v with %d bytes written", w.Closed, w.Text.Len())
 	}
 	y.Data([]byte(nettest.SubmitFrame(1, "", request(ref)...)))
 	b.replier.Reply(b.tokens[1], director.Answer{Verdict: director.Served})
-	if w2.closed || w2.text.Len() == 0 {
+	if w2.Closed || w2.Text.Len() == 0 {
 		t.Error("another client suffers from it")
 	}
 }
 
 func TestOpenRequestsAreBounded(t *testing.T) {
 	b := newBench()
-	w := &wire{}
+	w := &nettest.Link{}
 	x := b.s.Accept(w)
 	for seq := range int32(3) {
 		x.Data([]byte(nettest.SubmitFrame(seq+1, "", request(ref)...)))
 	}
-	if len(b.taken) != 2 || b.s.Counters.OverOpen != 1 || w.text.Len() == 0 {
-		t.Errorf("taken %d, over %d, answered %d bytes", len(b.taken), b.s.Counters.OverOpen, w.text.Len())
+	if len(b.taken) != 2 || b.s.Counters.OverOpen != 1 || w.Text.Len() == 0 {
+		t.Errorf("taken %d, over %d, answered %d bytes", len(b.taken), b.s.Counters.OverOpen, w.Text.Len())
 	}
 	if err := x.Data([]byte(nettest.SubmitFrame(2, "", request(ref)...))); err == nil {
 		t.Error("an open sequence number was taken again")
@@ -158,15 +141,15 @@
 
 func TestIdleAndStuckConnectionsAreClosed(t *testing.T) {
 	b := newBench()
-	w, w2 := &wire{}, &wire{}
+	w, w2 := &nettest.Link{}, &nettest.Link{}
 	b.s.Accept(w).Data([]byte{0, 0})
 	b.s.Accept(w2).Data([]byte(nettest.SubmitFrame(1, "", request(ref)...)))
 	for range 40 {
 		b.clock += time.Second
 		b.agenda.Run(b.clock)
 	}
-	if !w.closed || w2.closed {
-		t.Errorf("stuck closed: %v, with an open request closed: %v", w.closed, w2.closed)
+	if !w.Closed || w2.Closed {
+		t.Errorf("stuck closed: %v, with an open request closed: %v", w.Closed, w2.Closed)
 	}
 }
 
@@ -176,9 +159,9 @@
 	f.Add([]byte(nettest.Frame(1, "heartbeat", 3, []byte{15, 0, 1, 12, 0, 0, 0, 9, 13, 0, 2, 11, 11})), uint8(200))
 	f.Fuzz(func(t *testing.T, stream []byte, piece uint8) {
 		b := newBench()
-		w := &wire{}
+		w := &nettest.Link{}
 		x := b.s.Accept(w)
-		for len(stream) > 0 && !w.closed {
+		for len(stream) > 0 && !w.Closed {
 			k := min(int(piece)+1, len(stream))
 			if x.Data(stream[:k]) != nil {
 				break
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -103,7 +103,8 @@
 }
 
 // Load reads the file that EDGE_CONFIG names. EDGE_NAME and EDGE_LISTEN, where set, must not contradict it.
-func Load(getenv func(string) string) (*Config, error) {
+// The process may hold descriptors at most, whatever the file says.
+func Load(getenv func(string) string, descriptors uint64) (*Config, error) {
 	path := getenv("EDGE_CONFIG")
 	if path == "" {
 		return nil, errors.New("EDGE_CONFIG: not set")
@@ -112,7 +113,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
-	c, err := Parse(text)
+	c, err := Parse(text, descriptors)
 	if err != nil {
 		return nil, err
 	}
@@ -126,7 +127,7 @@
 }
 
 // Parse checks a configuration; an error names the field at fault.
-func Parse(text []byte) (*Config, error) {
+func Parse(text []byte, descriptors uint64) (*Config, error) {
 	var d document
 	if err := json.Unmarshal(text, &d); err != nil {
 		var t *json.UnmarshalTypeError
@@ -158,6 +159,7 @@
 	if err := json.Unmarshal(d.Settings, &t); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	d.Limits.Sockets = min(d.Limits.Sockets, float64(descriptors))
 	switch l := d.Limits; {
 	case !(l.Cores > 0):
 		return nil, fmt.Errorf("limits.cores: %v", l.Cores)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -15,7 +15,7 @@
   "ceilings":{"connectTimeout":400000000,"keepalive":15000000000,"streamsPerConn":64,"openCap":100}}}`
 
 func TestLimitsFollowTheConfiguration(t *testing.T) {
-	c, err := Parse([]byte(good))
+	c, err := Parse([]byte(good), 1<<20)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -34,6 +34,17 @@
 	}
 }
 
+// gnet's accept ends the engine when descriptors run out, so the smaller of the two limits counts.
+func TestProcessLimitCounts(t *testing.T) {
+	c, err := Parse([]byte(good), 256)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Limits.Descriptors != 256 || c.Limits.ClientConns != 85 {
+		t.Errorf("%d descriptors, %d for clients", c.Limits.Descriptors, c.Limits.ClientConns)
+	}
+}
+
 func TestBadConfigurationNamesItsField(t *testing.T) {
 	for _, c := range []struct{ from, to, field string }{
 		{`"name":"n1"`, `"name":""`, "name"},
@@ -49,7 +60,7 @@
 		{`"aim":1`, `"aim":"1"`, "settings"},
 		{good, `{`, "config"},
 	} {
-		_, err := Parse([]byte(strings.Replace(good, c.from, c.to, 1)))
+		_, err := Parse([]byte(strings.Replace(good, c.from, c.to, 1)), 1<<20)
 		if err == nil || !strings.HasPrefix(err.Error(), c.field) {
 			t.Errorf("%s: error %v, want one that names %s", c.to, err, c.field)
 		}
@@ -57,7 +68,7 @@
 }
 
 func TestEnvironmentMustNotContradict(t *testing.T) {
-	if _, err := Load(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "EDGE_CONFIG") {
+	if _, err := Load(func(string) string { return "" }, 1<<20); err == nil || !strings.Contains(err.Error(), "EDGE_CONFIG") {
 		t.Errorf("no EDGE_CONFIG: %v", err)
 	}
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -109,9 +109,10 @@
 
 // stream is one connection to the feed.
 type stream struct {
-	f    *Follower
-	link loop.Conn
-	line []byte
+	f     *Follower
+	link  loop.Conn
+	line  []byte
+	spoke bool // a good line has come
 }
 
 func (s *stream) Opened(c loop.Conn) {
@@ -133,8 +134,14 @@
 	s.f.retry(s, s.f.limits.FeedRetry)
 }
 
+// Closed connects again. What the feed has to tell counts as told while it is down, so a stream that was
+// good is replaced at once; one that never was waits, lest a broken feed be hammered.
 func (s *stream) Closed() {
 	s.f.Counters.Losses++
+	if s.spoke {
+		s.f.retry(s, 0)
+		return
+	}
 	s.f.retry(s, s.f.limits.FeedRetry)
 }
 
@@ -167,7 +174,7 @@
 			s.f.logf("feed: %v: reconnecting behind event %d", err, s.f.last)
 			return err
 		}
-		s.line = s.line[:0]
+		s.line, s.spoke = s.line[:0], true
 	}
 	return nil
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -12,6 +12,7 @@
 	"shaleyard/internal/config"
 	"shaleyard/internal/director"
 	"shaleyard/internal/loop"
+	"shaleyard/internal/nettest"
 	"shaleyard/rules"
 )
 
@@ -24,21 +25,6 @@
 	told   []string
 }
 
-type link struct {
-	text   strings.Builder
-	closed bool
-}
-
-func (l *link) Writev(p [][]byte) (n int, err error) {
-	for _, b := range p {
-		l.text.Write(b)
-		n += len(b)
-	}
-	return n, nil
-}
-func (l *link) OutboundBuffered() int { return 0 }
-func (l *link) Close() error          { l.closed = true; return nil }
-
 func (b *bench) Dial(_ string, _ time.Duration, s loop.Stream) { b.dials = append(b.dials, s) }
 func (b *bench) Members(full bool, version uint64, list []director.Member) {
 	for _, m := range list {
@@ -58,8 +44,8 @@
 	return b
 }
 
-func (b *bench) open() *link {
-	l := &link{}
+func (b *bench) open() *nettest.Link {
+	l := &nettest.Link{}
 	b.dials[len(b.dials)-1].Opened(l)
 	return l
 }
@@ -79,7 +65,7 @@
 	}
 	b.f.Start()
 	l := b.open()
-	if got := l.text.String(); got != "SUB 1\n" {
+	if got := l.Text.String(); got != "SUB 1\n" {
 		t.Errorf("subscribed with %q", got)
 	}
 	stream := `{"n":1}` + "\n1\n" + `{"n":2,"purge":{"key":"00000000000000ff","at":9}}` + "\n" +
@@ -121,7 +107,7 @@
 			t.Errorf("%.60q: %d dials", bad, len(b.dials))
 			continue
 		}
-		if got := b.open().text.String(); got != "SUB 0\n" {
+		if got := b.open().Text.String(); got != "SUB 0\n" {
 			t.Errorf("%.60q: resumed with %q", bad, got)
 		}
 	}
@@ -135,13 +121,37 @@
 	b.pass(time.Second)
 	b.dials[0].Data([]byte("0\n"))
 	b.pass(time.Second)
-	if l.closed {
+	if l.Closed {
 		t.Error("closed though it spoke")
 	}
 	b.pass(400 * time.Millisecond)
 	b.pass(0)
-	if !l.closed || len(b.dials) != 2 || b.f.Connected() {
-		t.Errorf("closed %v, %d dials, connected %v", l.closed, len(b.dials), b.f.Connected())
+	if !l.Closed || len(b.dials) != 2 || b.f.Connected() {
+		t.Errorf("closed %v, %d dials, connected %v", l.Closed, len(b.dials), b.f.Connected())
+	}
+}
+
+// While the feed is down what it would tell counts as told: a good one is replaced at once, one that closes
+// without a word later.
+func TestLostFeedIsReplaced(t *testing.T) {
+	b := newBench(t)
+	b.f.Start()
+	b.open()
+	b.dials[0].Data([]byte("0\n"))
+	b.dials[0].Closed()
+	b.pass(0)
+	if len(b.dials) != 2 {
+		t.Fatalf("%d dials after the loss of a good feed, want 2", len(b.dials))
+	}
+	b.open()
+	b.dials[1].Closed()
+	b.pass(0)
+	if len(b.dials) != 2 {
+		t.Errorf("%d dials after one that closed without a word, want 2", len(b.dials))
+	}
+	b.pass(100 * time.Millisecond)
+	if len(b.dials) != 3 {
+		t.Errorf("%d dials after the wait, want 3", len(b.dials))
 	}
 }
 
--- a/internal/nettest/nettest.go
+++ b/internal/nettest/nettest.go
@@ -245,3 +245,28 @@
 	}
 	return r
 }
+
+// Link is a connection for tests without a socket: it keeps what is written.
+type Link struct {
+	Text   strings.Builder
+	Unread int // what OutboundBuffered tells
+	Closed bool
+}
+
+// Writev keeps the pieces.
+func (l *Link) Writev(pieces [][]byte) (n int, err error) {
+	for _, p := range pieces {
+		l.Text.Write(p)
+		n += len(p)
+	}
+	return n, nil
+}
+
+// OutboundBuffered is Unread.
+func (l *Link) OutboundBuffered() int { return l.Unread }
+
+// Close notes that it was called.
+func (l *Link) Close() error {
+	l.Closed = true
+	return nil
+}
