Count the descriptors that a dial holds twice, so that accept never runs out

Seen in review: caches.go bounded connections by count, but gnet's Enroll duplicates a dialled descriptor before it closes the first (eventloop_unix.go, enroll), so a burst of dials could hold 1,302 of 1,024, and gnet's accept ends the engine on EMFILE. The fleet now counts two for a dial and one for a connection; the test holds the count through failed, opened and closed dials.

--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -23,10 +23,10 @@
 
 // Counters count what passed between the director and its peers.
 type Counters struct {
-	Dials, DialsFailed, Closed, Idle, Restarted  uint64
-	Sent, Stopped, Answers, Late                 uint64
-	BadStream, BadAnswer, Backlogged, NoPeer     uint64
-	BytesIn, BytesOut, SilentConns, DescriptorsU uint64
+	Dials, DialsFailed, Closed, Idle, Restarted   uint64
+	Sent, Stopped, Answers, Late                  uint64
+	BadStream, BadAnswer, Backlogged, NoPeer      uint64
+	BytesIn, BytesOut, SilentConns, NoDescriptors uint64
 }
 
 // Fleet holds the connections to all peers.
@@ -44,6 +44,7 @@
 	peers  map[rules.Host]*peer
 	calls  map[director.Handle]*call
 	conns  *director.Table[*conn]
+	files  int // descriptors in use: two while a dial is handed to the loop, then one
 	head   []byte
 	iov    [][]byte
 }
@@ -156,7 +157,7 @@
 	c := p.pick(q.Request.Ref)
 	if c == nil {
 		if c = f.dial(p); c == nil {
-			f.Counters.DescriptorsU++
+			f.Counters.NoDescriptors++
 			f.ender.Ended(h, director.Ending{Result: rules.ConnectFailed})
 			return
 		}
@@ -200,7 +201,11 @@
 	return nil
 }
 
+// dial opens a connection, unless that could take more descriptors than peers may hold.
 func (f *Fleet) dial(p *peer) *conn {
+	if f.files+2 > f.limits.PeerConns {
+		return nil
+	}
 	c := &conn{f: f, p: p, open: map[string]*call{}, ghosts: map[string]rules.Time{}}
 	c.parser = parser{pool: f.pool, mostFields: f.limits.AnswerFields, mostBody: f.limits.AnswerBody}
 	h, ok := f.conns.Add(c)
@@ -208,6 +213,7 @@
 		return nil
 	}
 	c.handle = h
+	f.files += 2
 	p.conns = append(p.conns, c)
 	f.Counters.Dials++
 	f.dialer.Dial(p.address, f.limits.ConnectTimeout, c)
@@ -322,6 +328,7 @@
 
 // Opened is the end of a dial. What was given up meanwhile is not sent.
 func (c *conn) Opened(link loop.Conn) {
+	c.f.files--
 	c.link, c.up = link, c.f.now()
 	if c.closed {
 		link.Close()
@@ -339,6 +346,7 @@
 
 // Failed is the other end of a dial: nothing that waited for it has run.
 func (c *conn) Failed(err error) {
+	c.f.files -= 2
 	c.f.Counters.DialsFailed++
 	c.f.log(c.p, "connect failed with %d attempts waiting: %v", len(c.open), err)
 	c.gone(rules.ConnectFailed)
@@ -346,6 +354,7 @@
 
 // Closed is the end of a connection: what was written may have run.
 func (c *conn) Closed() {
+	c.f.files--
 	if !c.closed {
 		c.f.Counters.Closed++
 		if len(c.open) > 0 {
--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -33,7 +33,7 @@
 
 func newBench() *bench {
 	b := &bench{clock: 1000 * time.Second, ends: map[director.Handle]rules.Result{}}
-	l := &config.Limits{PeerConns: 4, StreamsPerConn: 2, PeerIdle: 10 * time.Second, PeerGhost: 5 * time.Second, PeerSilence: time.Second, PeerBacklog: 1000,
+	l := &config.Limits{PeerConns: 8, StreamsPerConn: 2, PeerIdle: 10 * time.Second, PeerGhost: 5 * time.Second, PeerSilence: time.Second, PeerBacklog: 1000,
 		AnswerBody: 100, AnswerFields: 100}
 	s := &rules.Settings{Report: rules.ReportSettings{Fields: []string{"active", "x1"}}}
 	b.f = NewFleet(l, s, buffer.NewPool(64, 64), b, b, &b.agenda, func() rules.Time { return b.clock }, func(string, ...any) {})
@@ -202,7 +202,8 @@
 	b.want(t, map[director.Handle]rules.Result{1: rules.Errored, 2: rules.Errored})
 }
 
-func TestConnectionsAreBounded(t *testing.T) {
+// A dial holds two descriptors until it has joined the loop. Accept ends the engine when they run out.
+func TestDescriptorsAreBounded(t *testing.T) {
 	b := newBench()
 	for h := director.Handle(1); h <= 9; h++ {
 		b.send(h, "r"+string(rune('0'+h)))
@@ -211,6 +212,13 @@
 		t.Errorf("%d dials, want 4", len(b.dials))
 	}
 	b.want(t, map[director.Handle]rules.Result{9: rules.ConnectFailed})
+	b.dials[0].Failed(errors.New("refused"))
+	b.dials[1].Opened(&nettest.Link{})
+	b.dials[1].Closed()
+	b.dials[2].Opened(&nettest.Link{})
+	if b.f.files != 3 {
+		t.Errorf("%d descriptors counted, want 3", b.f.files)
+	}
 }
 
 func TestIdleConnectionIsClosed(t *testing.T) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -52,7 +52,7 @@
 	Overdue       time.Duration // past its time, a request without an answer is failed
 
 	// Caches, parents, origin.
-	PeerConns      int           // descriptors for dialled connections
+	PeerConns      int           // descriptors that dialled connections may hold
 	StreamsPerConn int           // attempts open on one connection
 	ConnectTimeout time.Duration // a connection not up by then has failed
 	PeerIdle       time.Duration // an idle connection is closed after this
