Accept on the event loop itself, so that a burst of connections can't end the engine

Seen: with 80 descriptors and 900 connections waiting in the backlog of a stopped process, the program ended on SIGCONT with "Accept() failed due to error: too many open files", and with exit status 0. The same burst to a running process was survived: the guess alone was not enough. Cause: by default gnet accepts on a reactor of its own that drains the backlog (acceptor_unix.go, accept0) before our loop can turn one away; and Run took the engine's silent end for a stop.

Change: with SO_REUSEPORT gnet accepts on our loop, one connection at a time; Run looks first whether the address is vacant, without listening, as SO_REUSEPORT would let two programs share it. An end that nobody asked for is an error. Three tests hold it; the burst fails without SO_REUSEPORT. Counters name the results of attempts.

--- a/cmd/shaleyard/stories_test.go
+++ b/cmd/shaleyard/stories_test.go
@@ -1,9 +1,15 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -43,14 +49,16 @@
 
 // start runs the program until the test ends. Its feed is accepted by the test.
 func start(t *testing.T) *site {
+	t.Helper()
+	return startWith(t, 1024)
+}
+
+// startWith limits the program's descriptors.
+func startWith(t *testing.T, sockets int) *site {
 	t.Helper()
 	s := &site{t: t, cache: nettest.Listen(t), origin: nettest.Listen(t), feed: nettest.Listen(t),
 		ended: make(chan error, 1)}
-	known := members(1, true, member("c1", s.cache.Addr(), "here", "edge", "ready"),
-		member("o", s.origin.Addr(), "hub", "origin", "ready"))
-	c, err := config.Parse(fmt.Appendf(nil, `{"name":"n1","listen":"127.0.0.1:0","feed":%q,"seed":"1",
-		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"n":1,"events":[%s]},"settings":%s}`,
-		s.feed.Addr(), known, settings), 1024)
+	c, err := config.Parse(s.config(sockets), 1024)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -72,6 +80,14 @@
 	return s
 }
 
+func (s *site) config(sockets int) []byte {
+	known := members(1, true, member("c1", s.cache.Addr(), "here", "edge", "ready"),
+		member("o", s.origin.Addr(), "hub", "origin", "ready"))
+	return fmt.Appendf(nil, `{"name":"n1","listen":"127.0.0.1:0","feed":%q,"seed":"1",
+		"limits":{"cores":1,"memory_mb":192,"sockets":%d},"known":{"n":1,"events":[%s]},"settings":%s}`,
+		s.feed.Addr(), sockets, known, settings)
+}
+
 func (s *site) client() *nettest.Conn { return nettest.Dial(s.t, s.p.loop.Address()) }
 
 func fields(class, ref string) []string {
@@ -205,6 +221,89 @@
 	s.want(good.Reply(), nettest.Reply{Seq: 3, Body: "x", Good: true})
 }
 
+// The loop accepts with SO_REUSEPORT, which by itself would let two programs share an address unnoticed.
+func TestAddressInUseIsAnError(t *testing.T) {
+	s := start(t)
+	if err := s.p.loop.Run(s.p.loop.Address()); err == nil || !strings.Contains(err.Error(), "in use") {
+		t.Errorf("a second program on the address: %v", err)
+	}
+}
+
+// Clients may hold a third of the descriptors. One more is turned away, and those that are in are served on.
+func TestTooManyClientsAreTurnedAway(t *testing.T) {
+	s := startWith(t, 66)
+	var in []*nettest.Conn
+	for range 22 {
+		c := s.client()
+		c.Heartbeat(1)
+		in = append(in, c)
+	}
+	if got := s.client().Ended(); got != "" {
+		t.Errorf("one too many was told %q", got)
+	}
+	in[0].Reset()
+	for _, c := range in[1:] {
+		if r := c.Heartbeat(2); r.Seq != 2 {
+			t.Errorf("answer to call %d, want 2", r.Seq)
+		}
+	}
+}
+
+const childLimit = "SHALEYARD_TEST_DESCRIPTORS"
+
+// TestMain is the program itself, with few descriptors, where a test has started it as such.
+func TestMain(m *testing.M) {
+	n, err := strconv.ParseUint(os.Getenv(childLimit), 10, 64)
+	if err != nil {
+		os.Exit(m.Run())
+	}
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n}); err != nil {
+		panic(err)
+	}
+	main()
+}
+
+// A burst of connections that waits in the backlog must not take the last descriptor: gnet's accept ends the
+// engine then. Only a process of its own can run out of them.
+func TestBurstOfConnectionsIsSurvived(t *testing.T) {
+	s := &site{t: t, cache: nettest.Listen(t), origin: nettest.Listen(t), feed: nettest.Listen(t)}
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, s.config(66), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	child := exec.Command(os.Args[0])
+	child.Env = append(os.Environ(), childLimit+"=66", "EDGE_CONFIG="+file)
+	log, err := child.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := child.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer child.Process.Kill()
+	lines := bufio.NewScanner(log)
+	lines.Scan()
+	_, rest, _ := strings.Cut(lines.Text(), "listens on ")
+	address, _, ok := strings.Cut(rest, ": ")
+	if !ok {
+		t.Fatalf("no address in %q", lines.Text())
+	}
+	first := nettest.Dial(t, address)
+	first.Heartbeat(1)
+	child.Process.Signal(syscall.SIGSTOP)
+	for range 200 {
+		nettest.Dial(t, address)
+	}
+	child.Process.Signal(syscall.SIGCONT)
+	first.Heartbeat(2)
+	child.Process.Signal(syscall.SIGTERM)
+	for lines.Scan() {
+	}
+	if err := child.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
 // After a loss the feed resumes behind the last event, and a new cache at an old address is another peer:
 // nothing may go to it on the connections of the one that has gone.
 func TestFeedResumesAndANewCacheIsAnotherPeer(t *testing.T) {
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -7,6 +7,7 @@
 package director
 
 import (
+	"encoding/json"
 	"hash/fnv"
 	"time"
 
@@ -90,7 +91,18 @@
 	Taken, Served, Refused, Failed, Withdrawn, Overdue       uint64
 	Attempts, Cancelled, Moot, Ended, LateEnds, TimedOut     uint64
 	MemberEvents, MemberEntries, PurgeEvents, UnknownActions uint64
-	Results                                                  [rules.Miss + 1]uint64
+	Results                                                  Results
+}
+
+// Results count the ends of attempts by kind.
+type Results [rules.Miss + 1]uint64
+
+// MarshalJSON names the kinds.
+func (r Results) MarshalJSON() ([]byte, error) {
+	return json.Marshal(map[string]uint64{"ok": r[rules.OK], "errored": r[rules.Errored],
+		"refused": r[rules.Refused], "timed_out": r[rules.TimedOut],
+		"connect_failed": r[rules.ConnectFailed], "reset": r[rules.Reset],
+		"cancelled": r[rules.Cancelled], "moot": r[rules.Moot], "miss": r[rules.Miss]})
 }
 
 // Director drives one router.
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -5,9 +5,8 @@
 //   - EventLoop.Enroll hands a dialled net.Conn to the loop from a worker goroutine: it duplicates the
 //     descriptor, closes the first and calls OnOpen on the loop with the value given as context. So a dial
 //     holds two descriptors for a moment, and the count of dials is bounded with that in mind.
-//   - Accept and Engine.Register ask a load balancer for the loop, each on a goroutine of its own, and the
-//     default one counts round without a lock: a data race. SourceAddrHash keeps no state, and dials go to
-//     the loop itself.
+//   - Engine.Register asks a load balancer for the loop, and the default one counts round without a lock:
+//     a data race between dials. SourceAddrHash keeps no state, and dials go to the loop itself.
 //   - OnTick runs on a goroutine of its own, not on the loop. Deadlines come through EventLoop.Execute, and
 //     an EventLoop is handed out only through a Conn: the first tick registers one end of a socket pair to
 //     get it, as OnBoot is called before there is a loop to register with.
@@ -16,6 +15,9 @@
 //   - A failed write closes the connection and calls OnClose before Write returns: all handlers must bear
 //     that, and the director queues what comes back while it acts.
 //   - Accept ends the engine when descriptors run out: dials and clients have shares that leave a reserve.
+//     By default it runs on a loop of its own that drains the backlog, however long, before ours can turn
+//     one away. With SO_REUSEPORT it runs on our loop, one connection at a time. As that would let a second
+//     program share the address unnoticed, Run looks first whether it is vacant.
 package loop
 
 import (
@@ -95,7 +97,10 @@
 
 // Run listens on the address and serves until Stop.
 func (l *Loop) Run(address string) error {
-	err := gnet.Run(l, "tcp://"+address, gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true),
+	if err := vacant(address); err != nil {
+		return fmt.Errorf("listen %s: %w", address, err)
+	}
+	err := gnet.Run(l, "tcp://"+address, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
 		gnet.WithLoadBalancing(gnet.SourceAddrHash), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(logger{l.Logf}), gnet.WithTicker(true),
 		gnet.WithWriteBufferCap(64<<10))
 	if l.alarm != nil {
@@ -104,6 +109,11 @@
 	if err != nil {
 		return fmt.Errorf("listen %s: %w", address, err)
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.err == nil && !l.ended { // gnet logs what ended it, and returns nothing
+		return errors.New("the event loop has ended without being stopped")
+	}
 	return l.err
 }
 
@@ -119,6 +129,28 @@
 // Address is where the loop listens; it is known from Boot on.
 func (l *Loop) Address() string { return l.address }
 
+// vacant tells whether the address can be bound. It does not listen: a client that came just then would be
+// accepted and lost.
+func vacant(address string) error {
+	at, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return err
+	}
+	family, to := syscall.AF_INET6, syscall.Sockaddr(&syscall.SockaddrInet6{Port: at.Port, Addr: [16]byte(at.IP.To16())})
+	if ip := at.IP.To4(); ip != nil {
+		family, to = syscall.AF_INET, &syscall.SockaddrInet4{Port: at.Port, Addr: [4]byte(ip)}
+	}
+	fd, err := syscall.Socket(family, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return os.NewSyscallError("socket", err)
+	}
+	defer syscall.Close(fd)
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return os.NewSyscallError("setsockopt", err)
+	}
+	return os.NewSyscallError("bind", syscall.Bind(fd, to))
+}
+
 // Stop ends Run; connections are closed.
 func (l *Loop) Stop() {
 	l.mu.Lock()
