Boot on the first connection, so that an early client's request finds the loop

Seen in review: loop.go took the event loop's handle from the doorbell alone, which hangs at gnet's first tick, after the listener is up. Clients go on coming to a director that was down; one that was first would have had its request dial, and its deadline ring, through a handle that was still nil, and the program would have crashed at a restart. Now whichever connection opens first boots. The test lets a client come with the tick held back: it fails without the change (no boot in 20 s).

--- a/examples/toy/main.go
+++ b/examples/toy/main.go
@@ -188,8 +188,8 @@
 	if _, err := rand.Read(ref); err != nil {
 		return err
 	}
-	fields := []string{"ref", hex.EncodeToString(ref), "service", "media", "allow", "5000", "lookup", object, "chunk", "0",
-		"tag", "0", "room", "100"}
+	fields := []string{"ref", hex.EncodeToString(ref), "service", "media", "allow", "5000", "lookup", object,
+		"chunk", "0", "tag", "0", "room", "100"}
 	if payment != "" {
 		fields[3], fields[5], fields[7] = "repayment", "3000", "0000000000000001"
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -77,7 +77,7 @@
 	Front Front
 	// Logf takes gnet's warnings and errors.
 	Logf func(format string, a ...any)
-	// Rejected counts the streams that were closed for what came on them, by reason.
+	// Rejected is told why a stream was closed for what came on it.
 	Rejected func(reason error)
 
 	Agenda *director.Agenda
@@ -100,9 +100,7 @@
 	if err := vacant(address); err != nil {
 		return fmt.Errorf("listen %s: %w", address, err)
 	}
-	err := gnet.Run(l, "tcp://"+address, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
-		gnet.WithLoadBalancing(gnet.SourceAddrHash), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(logger{l.Logf}), gnet.WithTicker(true),
-		gnet.WithWriteBufferCap(64<<10))
+	err := gnet.Run(l, "tcp://"+address, l.options()...)
 	if l.alarm != nil {
 		l.alarm.Stop()
 	}
@@ -117,6 +115,12 @@
 	return l.err
 }
 
+func (l *Loop) options() []gnet.Option {
+	return []gnet.Option{gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
+		gnet.WithLoadBalancing(gnet.SourceAddrHash), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithLogger(logger{l.Logf}), gnet.WithTicker(true), gnet.WithWriteBufferCap(64 << 10)}
+}
+
 // logger passes on what gnet has to say in earnest.
 type logger struct{ logf func(string, ...any) }
 
@@ -136,7 +140,8 @@
 	if err != nil {
 		return err
 	}
-	family, to := syscall.AF_INET6, syscall.Sockaddr(&syscall.SockaddrInet6{Port: at.Port, Addr: [16]byte(at.IP.To16())})
+	family := syscall.AF_INET6
+	var to syscall.Sockaddr = &syscall.SockaddrInet6{Port: at.Port, Addr: [16]byte(at.IP.To16())}
 	if ip := at.IP.To4(); ip != nil {
 		family, to = syscall.AF_INET, &syscall.SockaddrInet4{Port: at.Port, Addr: [4]byte(ip)}
 	}
@@ -243,13 +248,16 @@
 	return conns[0], conns[1], err
 }
 
-// OnOpen implements gnet.EventHandler.
+// OnOpen implements gnet.EventHandler. The first connection boots. As a rule that is the doorbell, but where
+// clients kept coming while the program was down, one of them may be first, and its request needs the loop.
 func (l *Loop) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
 	defer l.arm()
-	switch x := c.Context().(type) {
-	case doorbell:
+	if l.el == nil {
 		l.el = c.EventLoop()
 		l.Boot()
+	}
+	switch x := c.Context().(type) {
+	case doorbell:
 	case *dial:
 		_ = c.SetNoDelay(true)
 		c.SetContext(x.stream)
