--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -169,9 +169,13 @@
 	}
 }
 
-// The host goes by the name alone: a new cache at an old address must be another server to the module.
+// The host goes by the name alone, the same in every director: a new cache at an old address must be another
+// server to the module, and all directors must pick the same cache for an object.
 func TestHostGoesByName(t *testing.T) {
-	if hostOf("s-1") == hostOf("s-2") || hostOf("s-1") != hostOf("s-1") || hostOf("s-1")>>48 != 0 {
-		t.Error("hosts do not follow names")
+	if got := hostOf("s-1"); got != 0xda195c3f3e58 { // FNV-1a of the name, folded to 48 bits
+		t.Errorf("host %x", got)
+	}
+	if hostOf("s-1") == hostOf("s-2") {
+		t.Error("two names, one host")
 	}
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -113,22 +113,22 @@
 
 // Router decides for one instance. It is not safe for concurrent use.
 type Router struct {
-	s                   Settings
-	rng                 *rand.Rand
-	now                 Time
-	acts                []Action
-	servers             map[Host]*server
-	order               []*server // all servers by address: loops must not follow map order
-	caches, upper       []*server // those that are ready: of our location; parents and origin
-	reqs                map[uint32]*request
-	tries               map[uint64]*attempt
-	cur, prev           map[objectPart]*entry // the table's two generations
-	purges              map[purgeKey]purge
-	classes             []classStats
-	pace                float64 // of the fastest of our caches
-	started, subscribed bool
-	turned, swept       Time
-	askAt, logAt        Time
-	asking              []*request // waiting for far masters
-	notZero             bool       // a lower-numbered router of our location was heard of
+	s             Settings
+	rng           *rand.Rand
+	now           Time
+	acts          []Action
+	servers       map[Host]*server
+	order         []*server // all servers by address: loops must not follow map order
+	caches, upper []*server // those that are ready: of our location; parents and origin
+	reqs          map[uint32]*request
+	tries         map[uint64]*attempt
+	cur, prev     map[objectPart]*entry // the table's two generations
+	purges        map[purgeKey]purge
+	classes       []classStats
+	pace          float64 // of the fastest of our caches
+	started       bool
+	turned, swept Time
+	logAt         Time
+	asking        []*request // waiting for far masters
+	notZero       bool       // a lower-numbered router of our location was heard of
 }
