Log at most one rejected connection a second

Seen in review: main.go wrote a line for each connection closed over bad input, on the event loop; who sends junk fast could fill a log that nobody reads and hold the loop up. All are counted still. The test fails without the limit (100 lines for 100 rejections).

--- a/cmd/shaleyard/main.go
+++ b/cmd/shaleyard/main.go
@@ -48,6 +48,8 @@
 	started  rules.Time
 	stopping rules.Time // when SIGTERM came; 0: it has not
 	rejected uint64
+
+	rejectLogAt rules.Time // no line on a rejected connection before
 }
 
 // clock is the one clock: the system's Unix time, which every peer counts by, as the module's Time. It
@@ -145,9 +147,14 @@
 	return p.stopping == 0 && (p.feed.Connected() || p.clock.now()-p.started > p.limits.FeedWait)
 }
 
+// reject counts a connection that was closed for what came on it. At most one a second is logged: who sends
+// junk must not have the loop write a line for each.
 func (p *program) reject(reason error) {
 	p.rejected++
-	p.log.Printf("connection closed: %v", reason)
+	if now := p.clock.now(); now >= p.rejectLogAt {
+		p.rejectLogAt = now + time.Second
+		p.log.Printf("connection closed, %d so far: %v", p.rejected, reason)
+	}
 }
 
 // stop begins a planned stop. Connections and requests are taken a while longer, as the front hears of it
--- a/cmd/shaleyard/stories_test.go
+++ b/cmd/shaleyard/stories_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -273,7 +274,7 @@
 	}
 	child := exec.Command(os.Args[0])
 	child.Env = append(os.Environ(), childLimit+"=66", "EDGE_CONFIG="+file)
-	log, err := child.StderrPipe()
+	text, err := child.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -281,7 +282,7 @@
 		t.Fatal(err)
 	}
 	defer child.Process.Kill()
-	lines := bufio.NewScanner(log)
+	lines := bufio.NewScanner(text)
 	lines.Scan()
 	_, rest, _ := strings.Cut(lines.Text(), "listens on ")
 	address, _, ok := strings.Cut(rest, ": ")
@@ -304,6 +305,18 @@
 	}
 }
 
+func TestRejectionsAreLoggedSparingly(t *testing.T) {
+	var text strings.Builder
+	p := &program{log: log.New(&text, "", 0)}
+	p.clock.last = 1 << 62 // a clock that stands
+	for range 100 {
+		p.reject(io.ErrUnexpectedEOF)
+	}
+	if n := strings.Count(text.String(), "\n"); n != 1 || p.rejected != 100 {
+		t.Errorf("%d lines on %d rejections, want one on 100", n, p.rejected)
+	}
+}
+
 // After a loss the feed resumes behind the last event, and a new cache at an old address is another peer:
 // nothing may go to it on the connections of the one that has gone.
 func TestFeedResumesAndANewCacheIsAnotherPeer(t *testing.T) {
