Take a new configuration on SIGHUP: follow the feed at its new address

Cause: cmd/shaleyard/main.go notified only SIGTERM, SIGINT and SIGUSR1, so the default action ended it.

Now the signals are caught before anything else starts; SIGHUP reads and checks the whole file off the loop. A bad file, or one for another name or address, is logged and counted and changes nothing. A new feed is followed at once behind the last event: the old stream is given up first, so what it still says can't count, and a dial that was due to the old address is replaced (Follower.retry used an entry of its own each time).

Ruled out: a fault of the planned restart, all three ended by themselves with status 0.

Tests: a story with the program in a process of its own, and one of the follower.

--- a/cmd/shaleyard/main.go
+++ b/cmd/shaleyard/main.go
@@ -11,6 +11,7 @@
 	"math"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -36,6 +37,7 @@
 // program is the parts, put together.
 type program struct {
 	log      *log.Logger
+	config   *config.Config
 	limits   *config.Limits
 	agenda   director.Agenda
 	clock    clock
@@ -49,6 +51,8 @@
 	stopping rules.Time // when SIGTERM came; 0: it has not
 	rejected uint64
 
+	reloads, reloadsFailed uint64
+
 	rejectLogAt rules.Time // no line on a rejected connection before
 }
 
@@ -66,7 +70,12 @@
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
 		return fmt.Errorf("descriptors: %w", err)
 	}
-	c, err := config.Load(getenv, files.Cur)
+	// From here on no signal that the program knows ends it unasked, also while it starts.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	load := func() (*config.Config, error) { return config.Load(getenv, files.Cur) }
+	c, err := load()
 	if err != nil {
 		return err
 	}
@@ -81,14 +90,12 @@
 	if err := p.feed.Replay(c.Known); err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	defer signal.Stop(signals)
+	c.Known = config.Known{} // replayed; it would take up memory for good
 	p.loop.Boot = func() {
 		p.log.Printf("%s listens on %s: %d descriptors, %d MB", c.Name, p.loop.Address(),
 			c.Limits.Descriptors, c.Limits.MemoryBytes>>20)
 		p.boot()
-		go p.obey(signals)
+		go p.obey(signals, load)
 	}
 	err = p.loop.Run(c.Listen)
 	p.report()
@@ -96,7 +103,8 @@
 }
 
 func assemble(c *config.Config, logTo io.Writer) (*program, error) {
-	p := &program{log: log.New(logTo, "", log.LstdFlags|log.Lmicroseconds), limits: &c.Limits}
+	p := &program{log: log.New(logTo, "", log.LstdFlags|log.Lmicroseconds), config: c,
+		limits: &c.Limits}
 	l, s := p.limits, &c.Settings
 	p.pool = buffer.NewPool(l.BufferSize, l.BufferCount)
 	var err error
@@ -121,16 +129,40 @@
 }
 
 // obey carries out signals.
-func (p *program) obey(signals <-chan os.Signal) {
+func (p *program) obey(signals <-chan os.Signal, load func() (*config.Config, error)) {
 	for s := range signals {
-		if s == syscall.SIGUSR1 {
+		switch s {
+		case syscall.SIGUSR1:
 			p.loop.Do(p.report)
-		} else {
+		case syscall.SIGHUP:
+			c, err := load() // off the loop, which requests go on using
+			p.loop.Do(func() { p.reload(c, err) })
+		default:
 			p.loop.Do(p.stop)
 		}
 	}
 }
 
+// reload takes over a configuration that was read anew. Only the feed's address can change while the program
+// runs; a file that is bad, or that is for another director, is reported and changes nothing.
+func (p *program) reload(c *config.Config, err error) {
+	if err == nil {
+		err = p.config.Replaceable(c)
+	}
+	if err != nil {
+		p.reloadsFailed++
+		p.log.Printf("configuration kept as it was: %v", err)
+		return
+	}
+	p.reloads++
+	p.log.Printf("configuration read anew: feed at %s", c.Feed)
+	if c.Limits != p.config.Limits || !reflect.DeepEqual(c.Settings, p.config.Settings) {
+		p.log.Printf("configuration: changed limits and settings wait for a restart")
+	}
+	p.config.Feed = c.Feed
+	p.feed.Redirect(c.Feed)
+}
+
 // front hands accepted connections to the clients' server.
 type front struct{ p *program }
 
@@ -181,7 +213,8 @@
 func (p *program) report() {
 	text, err := json.Marshal(map[string]any{
 		"clients": p.clients.Counters, "director": p.director.Counters, "caches": p.fleet.Counters,
-		"feed": p.feed.Counters, "rejected": p.rejected, "open": p.director.Open(),
+		"feed": p.feed.Counters, "rejected": p.rejected, "reloads": p.reloads,
+		"reloads_failed": p.reloadsFailed, "open": p.director.Open(),
 		"client_conns": p.clients.Conns(), "peer_conns": p.fleet.Conns(), "buffers": p.pool.Lent(),
 	})
 	if err != nil {
--- a/cmd/shaleyard/stories_test.go
+++ b/cmd/shaleyard/stories_test.go
@@ -264,45 +264,112 @@
 	main()
 }
 
-// A burst of connections that waits in the backlog must not take the last descriptor: gnet's accept ends the
-// engine then. Only a process of its own can run out of them.
-func TestBurstOfConnectionsIsSurvived(t *testing.T) {
-	s := &site{t: t, cache: nettest.Listen(t), origin: nettest.Listen(t), feed: nettest.Listen(t)}
-	file := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(file, s.config(66), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	child := exec.Command(os.Args[0])
-	child.Env = append(os.Environ(), childLimit+"=66", "EDGE_CONFIG="+file)
-	text, err := child.StderrPipe()
+// child is the program in a process of its own.
+type child struct {
+	*exec.Cmd
+	t             *testing.T
+	file, address string // its configuration; where it listens
+	lines         *bufio.Scanner
+}
+
+func startChild(t *testing.T, text []byte, descriptors int) *child {
+	t.Helper()
+	c := &child{Cmd: exec.Command(os.Args[0]), t: t, file: filepath.Join(t.TempDir(), "config.json")}
+	c.configure(text)
+	c.Env = append(os.Environ(), fmt.Sprintf("%s=%d", childLimit, descriptors), "EDGE_CONFIG="+c.file)
+	log, err := c.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := child.Start(); err != nil {
+	if err := c.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer child.Process.Kill()
-	lines := bufio.NewScanner(text)
-	lines.Scan()
-	_, rest, _ := strings.Cut(lines.Text(), "listens on ")
-	address, _, ok := strings.Cut(rest, ": ")
-	if !ok {
-		t.Fatalf("no address in %q", lines.Text())
+	t.Cleanup(func() { c.Process.Kill() })
+	c.lines = bufio.NewScanner(log)
+	_, rest, _ := strings.Cut(c.logged("listens on"), "listens on ")
+	c.address, _, _ = strings.Cut(rest, ": ")
+	return c
+}
+
+func (c *child) configure(text []byte) {
+	c.t.Helper()
+	if err := os.WriteFile(c.file, text, 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *child) signal(s os.Signal) { c.Process.Signal(s) }
+
+// logged waits for a line of the log that holds the text.
+func (c *child) logged(text string) string {
+	c.t.Helper()
+	for c.lines.Scan() {
+		if strings.Contains(c.lines.Text(), text) {
+			return c.lines.Text()
+		}
+	}
+	c.t.Fatalf("the log ended without %q", text)
+	return ""
+}
+
+// stop ends it as planned: with status 0.
+func (c *child) stop() {
+	c.t.Helper()
+	c.signal(syscall.SIGTERM)
+	for c.lines.Scan() {
+	}
+	if err := c.Wait(); err != nil {
+		c.t.Error(err)
+	}
+}
+
+// A new configuration comes while requests are open. A bad file, or another director's, must change nothing;
+// a good one moves the feed, behind the last event; and SIGHUP must not end the program.
+func TestReloadMovesTheFeedAndKeepsRequests(t *testing.T) {
+	s := &site{t: t, cache: nettest.Listen(t), origin: nettest.Listen(t), feed: nettest.Listen(t)}
+	text := s.config(256)
+	child := startChild(t, text, 256)
+	old := s.feed.Accept()
+	old.Line()
+	old.Send(`{"n":2,"purge":{"group":3,"at":1}}` + "\n")
+	cl := nettest.Dial(t, child.address)
+	cl.Submit(1, "", fields("media", ref1)...)
+	c := s.cache.Accept()
+	c.Command()
+	for _, bad := range []string{"{", strings.Replace(string(text), `"n1"`, `"n2"`, 1)} {
+		child.configure([]byte(bad))
+		child.signal(syscall.SIGHUP)
+		child.logged("configuration kept as it was")
+	}
+	s.feed = nettest.Listen(t)
+	child.configure(s.config(256))
+	child.signal(syscall.SIGHUP)
+	if got := s.feed.Accept().Line(); got != "SUB 2" {
+		t.Errorf("the new feed was asked %q", got)
+	}
+	if got := old.Ended(); got != "" {
+		t.Errorf("the old feed was told %q", got)
 	}
+	c.Answer(ref1, "OK", "n=HIT", "kept")
+	s.want(cl.Reply(), nettest.Reply{Seq: 1, Body: "kept", Good: true})
+	child.stop()
+}
+
+// A burst of connections that waits in the backlog must not take the last descriptor: gnet's accept ends the
+// engine then. Only a process of its own can run out of them.
+func TestBurstOfConnectionsIsSurvived(t *testing.T) {
+	s := &site{t: t, cache: nettest.Listen(t), origin: nettest.Listen(t), feed: nettest.Listen(t)}
+	child := startChild(t, s.config(66), 66)
+	address := child.address
 	first := nettest.Dial(t, address)
 	first.Heartbeat(1)
-	child.Process.Signal(syscall.SIGSTOP)
+	child.signal(syscall.SIGSTOP)
 	for range 200 {
 		nettest.Dial(t, address)
 	}
-	child.Process.Signal(syscall.SIGCONT)
+	child.signal(syscall.SIGCONT)
 	first.Heartbeat(2)
-	child.Process.Signal(syscall.SIGTERM)
-	for lines.Scan() {
-	}
-	if err := child.Wait(); err != nil {
-		t.Error(err)
-	}
+	child.stop()
 }
 
 func TestRejectionsAreLoggedSparingly(t *testing.T) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -172,6 +172,18 @@
 	return c, nil
 }
 
+// Replaceable tells whether a running program may go over to the configuration n: one that is for another
+// director, or for another address, must not be taken for this one's.
+func (c *Config) Replaceable(n *Config) error {
+	switch {
+	case n.Name != c.Name:
+		return fmt.Errorf("name: %q, but this is %q", n.Name, c.Name)
+	case n.Listen != c.Listen:
+		return fmt.Errorf("listen: %q can't change from %q without a restart", n.Listen, c.Listen)
+	}
+	return nil
+}
+
 // fill derives the limits. Of the memory, a third may hold bodies in buffers, a sixth what clients have not
 // read; the rest is for the program and the collector's headroom.
 func fill(d document, t transport, s *rules.Settings) Limits {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -25,8 +25,8 @@
 
 // Counters count what the feed brought.
 type Counters struct {
-	Connects, ConnectsFailed, Losses, Silences uint64
-	Lines, Events, BadLines, SkippedEntries    uint64
+	Connects, ConnectsFailed, Losses, Silences, Redirects uint64
+	Lines, Events, BadLines, SkippedEntries               uint64
 }
 
 // Follower follows one feed.
@@ -44,6 +44,7 @@
 	last    uint64 // number of the last event taken
 	stream  *stream
 	silence director.Entry
+	again   director.Entry // the next dial
 	logf    func(string, ...any)
 }
 
@@ -94,7 +95,23 @@
 	if s.link != nil {
 		s.link.Close()
 	}
-	f.agenda.At(f.now()+wait, f.Start)
+	f.agenda.Set(&f.again, f.now()+wait, f.Start)
+}
+
+// Redirect follows the feed at another address from now on, behind the last event taken. What the old one
+// still says counts no more: its stream is given up before the new one is opened, so that no event can come
+// twice or out of turn.
+func (f *Follower) Redirect(address string) {
+	if address == f.address {
+		return
+	}
+	f.address = address
+	f.Counters.Redirects++
+	if f.stream != nil {
+		f.retry(f.stream, 0)
+		return
+	}
+	f.agenda.Set(&f.again, f.now(), f.Start)
 }
 
 // listen limits the time to the next line. A feed that is cut off says nothing: only this ends it, and what
@@ -137,7 +154,9 @@
 // Closed connects again. What the feed has to tell counts as told while it is down, so a stream that was
 // good is replaced at once; one that never was waits, lest a broken feed be hammered.
 func (s *stream) Closed() {
-	s.f.Counters.Losses++
+	if s.f.stream == s {
+		s.f.Counters.Losses++
+	}
 	if s.spoke {
 		s.f.retry(s, 0)
 		return
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -155,6 +155,38 @@
 	}
 }
 
+// A new address is dialled at once, behind the last event. The old stream must not bring any more events, nor
+// a second dial when it ends; nor may a dial that was due to the old address.
+func TestRedirectLeavesTheOldFeedBehind(t *testing.T) {
+	b := newBench(t)
+	b.f.Start()
+	old := b.open()
+	b.dials[0].Data([]byte(ready + "\n"))
+	b.f.Redirect("b")
+	b.pass(0)
+	if len(b.dials) != 2 || !old.Closed {
+		t.Fatalf("%d dials, old stream closed: %v", len(b.dials), old.Closed)
+	}
+	if err := b.dials[0].Data([]byte(`{"n":2,"purge":{"group":1,"at":1}}` + "\n")); err == nil || b.f.last != 1 {
+		t.Errorf("the old feed's event was taken: at %d", b.f.last)
+	}
+	b.dials[0].Closed()
+	if got := b.open().Text.String(); got != "SUB 1\n" {
+		t.Errorf("subscribed with %q", got)
+	}
+	b.dials[1].Closed() // without a word: the next dial waits
+	b.f.Redirect("c")
+	b.pass(time.Second)
+	if len(b.dials) != 3 {
+		t.Errorf("%d dials, want 3", len(b.dials))
+	}
+	b.f.Redirect("c")
+	b.pass(0)
+	if len(b.dials) != 3 {
+		t.Errorf("%d dials after the same address again, want 3", len(b.dials))
+	}
+}
+
 func TestKnownMustAddUp(t *testing.T) {
 	b := newBench(t)
 	for _, k := range []config.Known{{N: 0, Events: []json.RawMessage{[]byte(ready)}}, {N: 9, Events: []json.RawMessage{[]byte("{}")}}} {
