--- a/cmd/shaleyard/stories_test.go
+++ b/cmd/shaleyard/stories_test.go
@@ -96,7 +96,7 @@
 		"tag", "17", "room", "412.5"}
 }
 
-const ref1, ref2 = "9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42"
+const ref1, ref2, ref3 = "9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42", "9b1f03aa5c7e2d43"
 
 // without drops what hangs on time from the FIELDS of a request.
 func without(fields, name string) string {
@@ -152,6 +152,28 @@
 	s.want(cl.Reply(), nettest.Reply{Seq: 1, Field: 2})
 }
 
+// A spoilt answer ends its connection, and a reset one what is open on it: that must be one attempt, so that a
+// repayment does not fail with others' answers. The cache itself is not to blame: it is asked on.
+func TestSpoiltAnswerEndsOneAttempt(t *testing.T) {
+	s := start(t)
+	cl := s.client()
+	cl.Submit(1, "pay", fields("repayment", ref1)...)
+	pay := s.cache.Accept()
+	pay.Command()
+	cl.Submit(2, "", fields("media", ref2)...)
+	spoilt := s.cache.Accept()
+	spoilt.Command()
+	spoilt.Send("*4\r\n$noise")
+	spoilt.Ended()
+	cl.Submit(3, "", fields("media", ref3)...)
+	c := s.cache.Accept()
+	if got := c.Command(); got[1] != ref3 {
+		t.Errorf("the cache was asked for %s, want %s", got[1], ref3)
+	}
+	pay.Answer(ref1, "OK", "-", "paid")
+	s.want(cl.Reply(), nettest.Reply{Seq: 1, Body: "paid", Good: true})
+}
+
 // Refused connections prove that nothing ran: the repayment may be refused, which lets the client retry.
 func TestRepaymentIsRefusedWhenItNeverRan(t *testing.T) {
 	s := start(t)
@@ -217,7 +239,8 @@
 	c := s.cache.Accept()
 	c.Command()
 	c.Answer(ref1, "WHAT", "-", "")
-	c.Command() // the bad answer failed its attempt; the origin or the cache is asked again
+	c = s.cache.Accept() // not on the connection of the first try, where a second copy might still come
+	c.Command()          // the bad answer failed its attempt; the origin or the cache is asked again
 	c.Answer(ref1, "OK", "n=HIT", "x")
 	s.want(good.Reply(), nettest.Reply{Seq: 3, Body: "x", Good: true})
 }
@@ -427,14 +450,17 @@
 	cl.Submit(2, "", fields("media", ref1)...)
 	c := s.cache.Accept()
 	c.Command()
-	s.p.loop.Do(s.p.stop)
+	stopping := make(chan struct{})
+	s.p.loop.Do(func() { s.p.stop(); close(stopping) })
+	<-stopping
 	if r := cl.Heartbeat(3); r.Good {
 		t.Error("ready while stopping")
 	}
 	late := s.client()
 	late.Submit(1, "", fields("media", ref2)...)
-	c.Command()
-	c.Answer(ref2, "OK", "n=HIT", "late")
+	c2 := s.cache.Accept()
+	c2.Command()
+	c2.Answer(ref2, "OK", "n=HIT", "late")
 	s.want(late.Reply(), nettest.Reply{Seq: 1, Body: "late", Good: true})
 	c.Answer(ref1, "OK", "n=HIT", "taken")
 	s.want(cl.Reply(), nettest.Reply{Seq: 2, Body: "taken", Good: true})
--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -27,6 +28,7 @@
 	Sent, Stopped, Answers, Late                  uint64
 	BadStream, BadAnswer, Backlogged, NoPeer      uint64
 	BytesIn, BytesOut, SilentConns, NoDescriptors uint64
+	Moved                                         uint64
 }
 
 // Fleet holds the connections to all peers.
@@ -71,7 +73,9 @@
 	line   []*call               // wait until it is up
 	ghosts map[string]rules.Time // given up here; an answer may still cross
 	up     rules.Time            // when it was opened
-	asked  rules.Time            // first write since something was heard; 0: none
+	asked  rules.Time            // first write since something was heard; 0: nothing is owed
+	used   rules.Time            // when it last took an attempt
+	last   string                // id of the last answer
 	spent  bool                  // takes no new attempts
 	closed bool
 	idle   director.Entry
@@ -154,20 +158,23 @@
 		f.ender.Ended(h, director.Ending{Result: rules.ConnectFailed})
 		return
 	}
-	c := p.pick(q.Request.Ref)
+	c := f.pick(p, q.Request.Ref)
 	if c == nil {
-		if c = f.dial(p); c == nil {
-			f.Counters.NoDescriptors++
-			f.ender.Ended(h, director.Ending{Result: rules.ConnectFailed})
-			return
-		}
+		f.Counters.NoDescriptors++
+		f.ender.Ended(h, director.Ending{Result: rules.ConnectFailed})
+		return
 	}
-	k := &call{h: h, id: q.Request.Ref, c: c, at: f.now(), known: q.Request.Known != ""}
+	k := &call{h: h, id: q.Request.Ref, at: f.now(), known: q.Request.Known != ""}
 	until := k.at + q.Patience
 	k.frame = func() { f.write(k, q, until) }
 	f.calls[h] = k
-	c.open[k.id] = k
-	f.agenda.Drop(&c.idle)
+	c.put(k)
+}
+
+// put gives an attempt to its connection, which writes it as soon as it is up.
+func (c *conn) put(k *call) {
+	k.c, c.open[k.id], c.used = c, k, c.f.now()
+	c.f.agenda.Drop(&c.idle)
 	if c.link == nil {
 		c.line = append(c.line, k)
 		return
@@ -175,30 +182,62 @@
 	k.frame()
 }
 
-// pick is the peer's first connection with room: attempts gather on few connections, as each costs the peer
-// a place. One on which the same id was given up is passed over, as its late answer could not be told apart.
-// So is a silent one: a machine that has vanished leaves its connections open, and a new dial proves whether
-// it is there.
-func (p *peer) pick(id string) *conn {
-	for _, c := range p.conns {
-		if _, taken := c.open[id]; taken || c.spent || c.closed || len(c.open) >= c.f.limits.StreamsPerConn {
-			continue
-		}
-		if at, ghost := c.ghosts[id]; ghost && c.f.now()-at <= c.f.limits.PeerGhost {
-			continue
-		}
-		if c.asked != 0 && c.f.now()-c.asked >= c.f.limits.PeerSilence {
-			c.f.Counters.SilentConns++
-			c.f.log(p, "silent for %v with %d attempts out: dialling anew", c.f.now()-c.asked, len(c.open))
-			continue
-		}
-		if c.link != nil && c.link.OutboundBuffered() > c.f.limits.PeerBacklog {
-			c.f.Counters.Backlogged++
-			continue
+// pick is the connection for an attempt: one that has nothing open, the latest used first; else a new one, up
+// to the peer's share; else the one with the least open. A spoilt answer or a reset ends all that is open on its
+// connection, so attempts share one only where connections run short.
+func (f *Fleet) pick(p *peer, id string) *conn {
+	var best *conn
+	for _, c := range slices.Clone(p.conns) {
+		if c.usable(id) && (best == nil || c.before(best)) {
+			best = c
 		}
+	}
+	if best != nil && (len(best.open) == 0 || len(p.conns) >= f.limits.ConnsPerPeer) {
+		return best
+	}
+	if c := f.dial(p); c != nil {
 		return c
 	}
-	return nil
+	return best
+}
+
+// before tells that c is the better of two: less open, up already, used later, so that what is not needed any
+// more comes to its idle time.
+func (c *conn) before(o *conn) bool {
+	switch {
+	case len(c.open) != len(o.open):
+		return len(c.open) < len(o.open)
+	case (c.link == nil) != (o.link == nil):
+		return c.link != nil
+	}
+	return c.used > o.used
+}
+
+// usable tells whether a connection can take an attempt under an id. One on which the id was given up, or has
+// just been answered, can't: a late answer or a second copy could not be told from the new one's. Nor can a
+// silent one: a machine that has vanished leaves its connections open, and a new dial proves whether it is
+// there. A silent one that has nothing left open is of no more use and is closed.
+func (c *conn) usable(id string) bool {
+	f, now := c.f, c.f.now()
+	if _, taken := c.open[id]; taken || c.spent || c.closed || len(c.open) >= f.limits.StreamsPerConn || c.last == id {
+		return false
+	}
+	if at, ghost := c.ghosts[id]; ghost && now-at <= f.limits.PeerGhost {
+		return false
+	}
+	if c.asked != 0 && now-c.asked >= f.limits.PeerSilence {
+		f.Counters.SilentConns++
+		f.log(c.p, "silent for %v with %d attempts out", now-c.asked, len(c.open))
+		if len(c.open) == 0 {
+			c.shut()
+		}
+		return false
+	}
+	if c.link != nil && c.link.OutboundBuffered() > f.limits.PeerBacklog {
+		f.Counters.Backlogged++
+		return false
+	}
+	return true
 }
 
 // dial opens a connection, unless that could take more descriptors than peers may hold.
@@ -349,9 +388,30 @@
 	c.f.files -= 2
 	c.f.Counters.DialsFailed++
 	c.f.log(c.p, "connect failed with %d attempts waiting: %v", len(c.open), err)
+	line := c.line
+	c.line, c.spent = nil, true
+	for _, k := range line {
+		if c.open[k.id] == k {
+			c.f.move(k)
+		}
+	}
 	c.gone(rules.ConnectFailed)
 }
 
+// move gives an attempt whose dial failed to another connection of the peer that works. A peer may hold no
+// more connections than it has; that one more failed proves nothing about it then.
+func (f *Fleet) move(k *call) {
+	from := k.c
+	for _, c := range from.p.conns {
+		if c.link != nil && c.usable(k.id) {
+			f.Counters.Moved++
+			delete(from.open, k.id)
+			c.put(k)
+			return
+		}
+	}
+}
+
 // Closed is the end of a connection: what was written may have run.
 func (c *conn) Closed() {
 	c.f.files--
@@ -448,6 +508,7 @@
 		return
 	}
 	f.Counters.Answers++
+	c.last = a.id
 	f.drop(k)
 	e, err := f.ending(a, k)
 	if err != nil {
--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -123,6 +123,47 @@
 	b.want(t, map[director.Handle]rules.Result{2: rules.Miss})
 }
 
+// Attempts share a connection only where the peer's share is used up, as one spoilt answer ends all on it. What
+// is idle is used again, but not for the id it has just answered: a second copy may still come. A dial that
+// fails proves nothing while others work: a cache turns away more connections than it holds.
+func TestAttemptsSpreadOverConnections(t *testing.T) {
+	b := newBench()
+	b.f.limits.ConnsPerPeer = 2
+	b.send(1, "r1")
+	b.dials[0].Opened(&nettest.Link{})
+	b.send(2, "r2")
+	b.dials[1].Failed(errors.New("refused"))
+	b.want(t, map[director.Handle]rules.Result{})
+	if b.f.calls[2].c != b.dials[0] || b.f.Counters.Moved != 1 {
+		t.Error("the attempt behind a failed dial is not on the connection that works")
+	}
+	b.dials[0].Data([]byte(bulk("r1", "MISS", "-", "") + bulk("r2", "MISS", "-", "")))
+	b.send(3, "r2")
+	if len(b.dials) != 3 || b.f.calls[3].c != b.dials[2] {
+		t.Errorf("%d dials: the second try of r2 is on the connection of the first", len(b.dials))
+	}
+	b.dials[2].Opened(&nettest.Link{})
+	b.send(4, "r4")
+	b.send(5, "r5")
+	if len(b.dials) != 3 || b.f.calls[4].c != b.dials[0] {
+		t.Errorf("%d dials: r4 has no idle connection, or r5 one beyond the share", len(b.dials))
+	}
+}
+
+// A silent connection that has nothing left open is of no use: it is closed, not passed over for good.
+func TestSilentConnectionIsClosedOnceEmpty(t *testing.T) {
+	b := newBench()
+	b.send(1, "r1")
+	l := &nettest.Link{}
+	b.dials[0].Opened(l)
+	b.f.Stop(1)
+	b.clock += 2 * time.Second
+	b.send(2, "r2")
+	if !l.Closed || b.f.Conns() != 1 {
+		t.Errorf("closed %v, %d connections held, want the new one only", l.Closed, b.f.Conns())
+	}
+}
+
 // A machine that vanishes leaves its connections open and silent: the next attempt must dial, which proves
 // whether it is there. A short wait is no silence.
 func TestSilentConnectionTakesNothingNew(t *testing.T) {
--- a/internal/caches/resp.go
+++ b/internal/caches/resp.go
@@ -76,6 +76,9 @@
 				return nil, errLine
 			}
 			p.line = append(p.line, c)
+			if !p.plausible() { // noise that never ends its line must not hold an attempt up
+				return nil, fmt.Errorf("%.16q begins no length line", p.line)
+			}
 			continue
 		}
 		n, err := p.number()
@@ -103,20 +106,24 @@
 	return nil, nil
 }
 
-func (p *parser) number() (int, error) {
-	want := byte('*')
+// plausible tells whether the latest byte of a line can stand there: its sign first, then digits and '\r'. No
+// minus: a null string is no answer.
+func (p *parser) plausible() bool {
+	c, sign := p.line[len(p.line)-1], byte('*')
 	if p.state == atBulk {
-		want = '$'
+		sign = '$'
 	}
+	if len(p.line) == 1 {
+		return c == sign
+	}
+	return c == '\r' || (c >= '0' && c <= '9')
+}
+
+func (p *parser) number() (int, error) {
 	l := p.line
-	if len(l) < 3 || l[0] != want || l[len(l)-1] != '\r' {
+	if len(l) < 3 || l[len(l)-1] != '\r' {
 		return 0, fmt.Errorf("%.16q is no length line", l)
 	}
-	for _, c := range l[1 : len(l)-1] {
-		if c < '0' || c > '9' { // no sign: a null string is no answer
-			return 0, fmt.Errorf("%.16q is no length line", l)
-		}
-	}
 	n, err := strconv.Atoi(string(l[1 : len(l)-1]))
 	if err != nil {
 		return 0, fmt.Errorf("length line: %w", err)
--- a/internal/caches/resp_test.go
+++ b/internal/caches/resp_test.go
@@ -60,7 +60,7 @@
 // Whatever a peer sends, what it makes grow is bounded.
 func TestParserRefusesWhatIsNoAnswer(t *testing.T) {
 	for _, s := range []string{"+OK\r\n", "*0\r\n", "*1\r\n", "*5\r\n", "*-1\r\n", "*2\r\n$-1\r\n", "*2\r\n:1\r\n", "*2\r\n$3\r\nabcd",
-		"*2\n", strings.Repeat("1", 40), "*2\r\n$65\r\n", "*4\r\n$1\r\na\r\n$2\r\nOK\r\n$65\r\n",
+		"*2\n", "2", "*4\r\n$noise", strings.Repeat("1", 40), "*2\r\n$65\r\n", "*4\r\n$1\r\na\r\n$2\r\nOK\r\n$65\r\n",
 		"*4\r\n$1\r\na\r\n$2\r\nOK\r\n$1\r\n-\r\n$101\r\n", "*2\r\n$99999999999999999999\r\n"} {
 		if _, err := parse(s, len(s), buffer.NewPool(16, 16)); err == nil {
 			t.Errorf("%q was taken", s)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -53,6 +53,7 @@
 
 	// Caches, parents, origin.
 	PeerConns      int           // descriptors that dialled connections may hold
+	ConnsPerPeer   int           // connections to one peer, before attempts share them
 	StreamsPerConn int           // attempts open on one connection
 	ConnectTimeout time.Duration // a connection not up by then has failed
 	PeerIdle       time.Duration // an idle connection is closed after this
@@ -212,6 +213,7 @@
 		Overdue:       25 * time.Millisecond,
 
 		PeerConns:      sockets - sockets/3 - reserve,
+		ConnsPerPeer:   min(max((sockets-sockets/3-reserve)/8, 1), 32),
 		StreamsPerConn: 100,
 		ConnectTimeout: time.Second,
 		PeerIdle:       15 * time.Second,
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -842,6 +842,25 @@
 	}
 }
 
+// Found on sockets: one answer in a hundred arrives spoilt and ends its connection. Ejecting the cache for it
+// crowded the others of its location. A dead one breaks all its connections, or refuses new ones.
+func TestOneResetDoesNotEject(t *testing.T) {
+	for _, tc := range []struct {
+		results []Result
+		want    bool
+	}{{[]Result{Reset}, false}, {[]Result{Reset, Reset, OK, Reset, Reset}, false}, {[]Result{Reset, Reset, Reset}, true},
+		{[]Result{ConnectFailed}, true}} {
+		w := simpleWorld(t, nil)
+		s := w.r.servers[hostEdge]
+		for _, result := range tc.results {
+			w.r.judge(&attempt{target: s}, Outcome{Result: result})
+		}
+		if s.ejected != tc.want {
+			t.Errorf("%v: ejected %v", tc.results, s.ejected)
+		}
+	}
+}
+
 // Found on docs days: what only the origin can do was held by its limit with the fills. It must go through
 // though the limit is reached.
 func TestLimitsSpareWhatOnlyTheOriginCanDo(t *testing.T) {
