Close clients that don't finish a message and make room when their table is full

Cause: ClientIdle, 30 s, was the only limit (clients.go, watch), and Accept turned away whoever came when the table was full.

Now a first or unfinished message has 2 s from where it began, idling has 30 s, and a full table evicts: long idle, then never spoken, then longest idle; never one that is owed an answer or has part of it in our buffer (gnet writes the rest of a buffer only once when it closes).

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -25,7 +25,8 @@
 
 // Counters count what clients sent and were answered.
 type Counters struct {
-	Accepted, TurnedAway, Closed, Idle                uint64
+	Accepted, TurnedAway, Evicted, Closed             uint64
+	Idle, Mute                                        uint64
 	Frames, Submits, Revokes, Heartbeats              uint64
 	BadFrame, BadMessage, BadFields, UnknownMethod    uint64
 	Answers, Refusals, Failures, OverOpen, TableFull  uint64
@@ -73,24 +74,68 @@
 	got     buffer.Chain
 	open    map[int32]director.Handle
 	idle    director.Entry
-	lastUse rules.Time
+	lastUse rules.Time // when it last brought a whole message or was answered
+	begun   rules.Time // when the frame under way, or for the first one the connection, began; 0: none is owed
+	spoke   bool       // a whole message has come
 	closed  bool
 }
 
-// Accept takes a connection in, or returns nil where clients hold all that they may.
+// Accept takes a connection in. Where clients hold all that they may, another has to go for it, or nil is
+// returned.
 func (s *Server) Accept(c loop.Conn) *Session {
-	x := &Session{s: s, c: c, open: map[int32]director.Handle{}, got: s.pool.Chain()}
+	if s.conns.Len() >= s.limits.ClientConns {
+		s.evict()
+	}
+	x := &Session{s: s, c: c, got: s.pool.Chain()}
 	h, ok := s.conns.Add(x)
 	if !ok {
 		s.Counters.TurnedAway++
 		return nil
 	}
 	s.Counters.Accepted++
-	x.handle, x.lastUse = h, s.now()
+	x.handle, x.lastUse, x.begun = h, s.now(), s.now()
 	x.watch()
 	return x
 }
 
+// evict closes the connection that is missed least, so that those who connect and say nothing, or keep a
+// connection for good, can't shut others out: one that has been idle for longer than clients keep theirs, else
+// the eldest that has brought no message yet, else the longest idle. One that is owed an answer stays.
+func (s *Server) evict() {
+	var worst *Session
+	now := s.now()
+	class := func(x *Session) int {
+		switch {
+		case x.spoke && now-x.lastUse > s.limits.ClientKeeps:
+			return 0
+		case !x.spoke:
+			return 1
+		}
+		return 2
+	}
+	s.conns.All(func(_ director.Handle, x *Session) bool {
+		if !x.busy() && (worst == nil || class(x) < class(worst) ||
+			(class(x) == class(worst) && x.lastUse < worst.lastUse)) {
+			worst = x
+		}
+		return true
+	})
+	if worst == nil {
+		return
+	}
+	s.Counters.Evicted++
+	worst.shut()
+}
+
+// busy tells whether an answer is owed, or not yet passed on whole: a close would lose it.
+func (x *Session) busy() bool { return len(x.open) > 0 || x.c.OutboundBuffered() > 0 }
+
+// shut closes the connection and frees its place at once.
+func (x *Session) shut() {
+	x.Closed()
+	x.c.Close()
+}
+
 // Conns is the number of connections held.
 func (s *Server) Conns() int { return s.conns.Len() }
 
@@ -104,19 +149,28 @@
 	return n
 }
 
-// watch closes the connection when it has been idle, or stuck in a frame, for too long.
+// watch closes the connection when it owes a message for too long, or has been idle for too long. The time
+// for a message counts from where it began, not from its last byte: who sends one byte now and then is stuck.
 func (x *Session) watch() {
-	x.s.agenda.Set(&x.idle, x.lastUse+x.s.limits.ClientIdle, func() {
-		if x.closed {
-			return
-		}
-		if x.s.now()-x.lastUse < x.s.limits.ClientIdle || len(x.open) > 0 {
-			x.lastUse = max(x.lastUse, x.s.now()-x.s.limits.ClientIdle/2)
+	l := x.s.limits
+	due := x.lastUse + l.ClientIdle
+	if x.busy() {
+		due = x.s.now() + l.ClientIdle
+	}
+	if x.begun != 0 {
+		due = min(due, x.begun+l.ClientMessage)
+	}
+	x.s.agenda.Set(&x.idle, due, func() {
+		switch now := x.s.now(); {
+		case x.begun != 0 && now-x.begun >= l.ClientMessage:
+			x.s.Counters.Mute++
+		case !x.busy() && now-x.lastUse >= l.ClientIdle:
+			x.s.Counters.Idle++
+		default:
 			x.watch()
 			return
 		}
-		x.s.Counters.Idle++
-		x.c.Close()
+		x.shut()
 	})
 }
 
@@ -139,10 +193,13 @@
 // Data takes what has come in. An error closes the connection: the stream can't be followed any more.
 func (x *Session) Data(p []byte) error {
 	x.s.Counters.BytesIn += uint64(len(p))
-	x.lastUse = x.s.now()
 	for len(p) > 0 && !x.closed {
 		if x.want == 0 {
+			if x.begun == 0 {
+				x.begun = x.s.now()
+			}
 			if p = x.length(p); x.want == 0 {
+				x.watch()
 				return nil
 			}
 			if x.want < 0 || x.want > x.s.limits.RequestFrame {
@@ -165,6 +222,7 @@
 		}
 		p = p[k:]
 		if x.got.Len() < x.want {
+			x.watch()
 			return nil
 		}
 		x.s.frame = x.s.frame[:0]
@@ -198,6 +256,7 @@
 func (x *Session) message(frame []byte) error {
 	c := &x.s.Counters
 	c.Frames++
+	x.lastUse, x.begun, x.spoke = x.s.now(), 0, true
 	r := reader{p: frame}
 	m := r.message()
 	if r.err != nil {
@@ -269,6 +328,9 @@
 		x.refuse(m.seq, 0)
 		return nil
 	}
+	if x.open == nil { // most connections that are idle never have one open again
+		x.open = map[int32]director.Handle{}
+	}
 	// The answer may come within Submit, so the number is taken before.
 	x.open[m.seq] = 0
 	h, ok := x.s.taker.Submit(q, x, uint64(uint32(m.seq)))
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,7 +46,9 @@
 	RequestFields int           // entries of the field map
 	ClientBacklog int           // bytes a client may leave unread
 	TotalBacklog  int           // bytes all clients together may leave unread
-	ClientIdle    time.Duration // a client connection with no open request, or with part of a frame
+	ClientMessage time.Duration // for a connection's first message, and for any from its first byte to its last
+	ClientKeeps   time.Duration // clients close a connection that was idle for so long, or leave it for good
+	ClientIdle    time.Duration // an idle client connection is closed after this
 	OpenRequests  int           // requests taken and not answered
 	LongestAllow  time.Duration // that a client may wait
 	Overdue       time.Duration // past its time, a request without an answer is failed
@@ -207,6 +209,8 @@
 		RequestFields: 32,
 		ClientBacklog: 32 * (240_000 + 1<<10),
 		TotalBacklog:  memory / 6,
+		ClientMessage: 2 * time.Second,
+		ClientKeeps:   4500 * time.Millisecond,
 		ClientIdle:    30 * time.Second,
 		OpenRequests:  4096,
 		LongestAllow:  10 * time.Minute,
