Blame a time-out on the source where the cache has answered since

The healthy caches' own limits came down from infinity to 0.2 sendings with 1 to 5 out, and 61% of a location's requests were refused for 10 s, hits among them.

Cause: rules.throttle blames a time-out on blamed(a), the cache, for each attempt that the table took for a hit but that was filled, as a time-out carries no note. Now it is blamed on who is silent: on the cache only if it has answered nothing since the attempt was sent, else on the source.

Ruled out: a parent that hangs alone.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -556,8 +556,12 @@
 func (d *Router) throttle(a *attempt, o Outcome) {
 	c := &d.s.Services[a.class]
 	t, s := blamed(a)
-	if a.target.role == edge && o.Note == NoteHit {
+	switch {
+	case a.target.role != edge:
+	case o.Note == NoteHit, o.Result == TimedOut && a.target.heard <= a.sent:
 		t, s = a.target, &a.target.to
+	case o.Result == TimedOut && a.source != nil: // the cache speaks, so a source hangs
+		t, s = a.source, &a.source.from
 	}
 	if a.look || (o.Result != OK && o.Result != Refused && o.Result != TimedOut) {
 		return
@@ -667,7 +671,7 @@
 	t, src := a.target, a.source
 	switch o.Result {
 	case OK, Miss, Refused, Errored:
-		t.broke = 0
+		t.broke, t.heard = 0, d.now
 		if t.ejected && (a.look || o.Result == OK) {
 			d.readmit(t)
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
 	"strings"
 	"testing"
@@ -861,6 +862,25 @@
 	}
 }
 
+// Found on sockets: the origin stopped for seconds, and fills that were taken for hits ran out of time with it. The
+// caches' limits came down for that, and healthy caches refused hits. Who has answered since is not to blame.
+func TestTimeOutBlamesWhoIsSilent(t *testing.T) {
+	for _, speaks := range []bool{true, false} {
+		w := simpleWorld(t, nil)
+		cache, src := w.r.servers[hostEdge], w.r.servers[hostParent]
+		if speaks {
+			cache.heard = 20
+		}
+		w.r.throttle(&attempt{target: cache, source: src, sent: 10, work: 0.1}, Outcome{Result: TimedOut})
+		if blamed := !math.IsInf(cache.to.limit, 1); blamed == speaks {
+			t.Errorf("the cache speaks: %v, and is blamed: %v", speaks, blamed)
+		}
+		if blamed := !math.IsInf(src.from.limit, 1); blamed != speaks {
+			t.Errorf("the cache speaks: %v, and its source is blamed: %v", speaks, blamed)
+		}
+	}
+}
+
 // Found on docs days: what only the origin can do was held by its limit with the fills. It must go through
 // though the limit is reached.
 func TestLimitsSpareWhatOnlyTheOriginCanDo(t *testing.T) {
