Count what notes tell, log news of members and take numbers in one form only

The line on silent connections is dropped: since each attempt has its own, a slow fill is no news.

Found by reading: number() took '+3' and '03' for a part, and the text passes on to caches, which may know no other form than a client's usual one; such requests are refused now. An attempt for which no descriptor is left ended as a failed connect, and the module took its cache out for it; it ends as moot now: it never ran, and it says nothing of the peer.

--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -160,8 +160,8 @@
 	}
 	c := f.pick(p, q.Request.Ref)
 	if c == nil {
-		f.Counters.NoDescriptors++
-		f.ender.Ended(h, director.Ending{Result: rules.ConnectFailed})
+		f.Counters.NoDescriptors++ // our shortage: it never ran, and says nothing of the peer
+		f.ender.Ended(h, director.Ending{Result: rules.Moot})
 		return
 	}
 	k := &call{h: h, id: q.Request.Ref, at: f.now(), known: q.Request.Known != ""}
@@ -226,9 +226,8 @@
 		return false
 	}
 	if c.asked != 0 && now-c.asked >= f.limits.PeerSilence {
-		f.Counters.SilentConns++
-		f.log(c.p, "silent for %v with %d attempts out", now-c.asked, len(c.open))
 		if len(c.open) == 0 {
+			f.Counters.SilentConns++
 			c.shut()
 		}
 		return false
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -394,9 +394,10 @@
 	return nil
 }
 
+// number reads a number in its one plain form: the text passes on to caches, which may know no other.
 func number(name, v string, least, most int) (int, error) {
 	n, err := strconv.Atoi(v)
-	if err != nil || n < least || n > most {
+	if err != nil || n < least || n > most || strconv.Itoa(n) != v {
 		return 0, fmt.Errorf("%s: %.40q is not a number from %d to %d", name, v, least, most)
 	}
 	return n, nil
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -92,6 +92,7 @@
 	Attempts, Cancelled, Moot, Ended, LateEnds, TimedOut     uint64
 	MemberEvents, MemberEntries, PurgeEvents, UnknownActions uint64
 	Results                                                  Results
+	Notes                                                    Notes
 }
 
 // Results count the ends of attempts by kind.
@@ -105,6 +106,18 @@
 		"cancelled": r[rules.Cancelled], "moot": r[rules.Moot], "miss": r[rules.Miss]})
 }
 
+// Notes count what the ends of attempts told of their fills.
+type Notes [rules.NoteOriginFailed + 1]uint64
+
+// MarshalJSON names the notes.
+func (n Notes) MarshalJSON() ([]byte, error) {
+	return json.Marshal(map[string]uint64{"none": n[rules.NoNote], "hit": n[rules.NoteHit],
+		"filled": n[rules.NoteFilled], "filled_by_origin": n[rules.NoteFilledByOrigin],
+		"joined": n[rules.NoteJoined], "stale": n[rules.NoteStale], "source_refused": n[rules.NoteSourceRefused],
+		"source_unreached": n[rules.NoteSourceUnreached], "source_lacks": n[rules.NoteSourceLacks],
+		"no_fill_slot": n[rules.NoteNoFillSlot], "origin_failed": n[rules.NoteOriginFailed]})
+}
+
 // Director drives one router.
 type Director struct {
 	Counters Counters
@@ -202,6 +215,8 @@
 	d.post(event{rules.Expired{ID: uint32(h)}, r})
 }
 
+const mostLogged = 8 // entries of one event
+
 // Members takes a change of the list of servers; full: what is not in it has gone.
 func (d *Director) Members(full bool, version uint64, list []Member) {
 	d.Counters.MemberEvents++
@@ -210,8 +225,11 @@
 	if full {
 		m.Kind = rules.Full
 	}
-	for _, e := range list {
+	for i, e := range list {
 		d.Counters.MemberEntries++
+		if !full && i < mostLogged { // the news of a release, not the list of a start
+			d.logf("member %s at %s: %v", e.Name, e.Address, e.State)
+		}
 		e.Host = hostOf(e.Name)
 		seen[e.Host] = true
 		m.List = append(m.List, e.Member)
@@ -420,6 +438,7 @@
 	delete(r.out, a.no)
 	d.Counters.Ended++
 	d.Counters.Results[e.Result]++
+	d.Counters.Notes[e.Note]++
 	if e.Result == rules.OK && !r.over {
 		d.answer(r, Answer{Verdict: Served, Same: e.Same, Body: &e.Body})
 		e.Body.Release()
--- a/rules/api.go
+++ b/rules/api.go
@@ -106,6 +106,19 @@
 	Ready
 )
 
+// String is the state's name.
+func (s State) String() string {
+	switch s {
+	case Draining:
+		return "draining"
+	case Gone:
+		return "gone"
+	case Ready:
+		return "ready"
+	}
+	return "unknown"
+}
+
 // Member is a server as discovery lists it.
 type Member struct {
 	Host    Host
