Learn for how long idle connections hold and let no reset eject a cache

Probes with log lines: of 73 lost connections none was on its first request; by idle time before the request, 1.2% of those idle for under 100 ms were reset, 19% at 100 to 200 ms, 35% at 200 to 500 ms.

Now an idle connection is used again only for as long as resets have taught; what must not run twice takes a new one; a dial that is reset is made again (it never ran); a reset ejects only where it ends a look.

--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"shaleyard/internal/buffer"
@@ -28,7 +29,7 @@
 	Sent, Stopped, Answers, Late                  uint64
 	BadStream, BadAnswer, Backlogged, NoPeer      uint64
 	BytesIn, BytesOut, SilentConns, NoDescriptors uint64
-	Moved                                         uint64
+	Moved, Stale, Crossed, Redials                uint64
 }
 
 // Fleet holds the connections to all peers.
@@ -46,7 +47,8 @@
 	peers  map[rules.Host]*peer
 	calls  map[director.Handle]*call
 	conns  *director.Table[*conn]
-	files  int // descriptors in use: two while a dial is handed to the loop, then one
+	keep   rules.Time // an idle connection is used again for so long: learnt from resets
+	files  int        // descriptors in use: two while a dial is handed to the loop, then one
 	head   []byte
 	iov    [][]byte
 }
@@ -75,7 +77,10 @@
 	up     rules.Time            // when it was opened
 	asked  rules.Time            // first write since something was heard; 0: nothing is owed
 	used   rules.Time            // when it last took an attempt
+	rested rules.Time            // since when it has nothing open
+	spoilt bool                  // closed by us for what came on it
 	last   string                // id of the last answer
+	served int                   // answers that came
 	spent  bool                  // takes no new attempts
 	closed bool
 	idle   director.Entry
@@ -87,6 +92,8 @@
 	id      string
 	c       *conn
 	at      rules.Time
+	gap     rules.Time // for how long its connection had been idle
+	redials int        // dials that were reset under it
 	written bool
 	known   bool
 	frame   func() // writes it, once the connection is up
@@ -96,7 +103,7 @@
 func NewFleet(l *config.Limits, s *rules.Settings, pool *buffer.Pool, d loop.Dialer, e Ender, a *director.Agenda,
 	now func() rules.Time, logf func(string, ...any)) *Fleet {
 	return &Fleet{limits: l, fields: s.Report.Fields, pool: pool, dialer: d, ender: e, agenda: a, now: now, logf: logf,
-		peers: map[rules.Host]*peer{}, calls: map[director.Handle]*call{},
+		keep: l.PeerIdle, peers: map[rules.Host]*peer{}, calls: map[director.Handle]*call{},
 		conns: director.NewTable[*conn](l.PeerConns)}
 }
 
@@ -158,7 +165,7 @@
 		f.ender.Ended(h, director.Ending{Result: rules.ConnectFailed})
 		return
 	}
-	c := f.pick(p, q.Request.Ref)
+	c := f.pick(p, q.Request.Ref, q.Once)
 	if c == nil {
 		f.Counters.NoDescriptors++ // our shortage: it never ran, and says nothing of the peer
 		f.ender.Ended(h, director.Ending{Result: rules.Moot})
@@ -173,6 +180,9 @@
 
 // put gives an attempt to its connection, which writes it as soon as it is up.
 func (c *conn) put(k *call) {
+	if len(c.open) == 0 && c.link != nil {
+		k.gap = c.f.now() - c.rested
+	}
 	k.c, c.open[k.id], c.used = c, k, c.f.now()
 	c.f.agenda.Drop(&c.idle)
 	if c.link == nil {
@@ -184,15 +194,16 @@
 
 // pick is the connection for an attempt: one that has nothing open, the latest used first; else a new one, up
 // to the peer's share; else the one with the least open. A spoilt answer or a reset ends all that is open on its
-// connection, so attempts share one only where connections run short.
-func (f *Fleet) pick(p *peer, id string) *conn {
+// connection, so attempts share one only where connections run short. What must not run twice takes a new one
+// where it can: a reset that crosses a request on an idle connection would leave it unknown whether it ran.
+func (f *Fleet) pick(p *peer, id string, once bool) *conn {
 	var best *conn
 	for _, c := range slices.Clone(p.conns) {
 		if c.usable(id) && (best == nil || c.before(best)) {
 			best = c
 		}
 	}
-	if best != nil && (len(best.open) == 0 || len(p.conns) >= f.limits.ConnsPerPeer) {
+	if best != nil && ((len(best.open) == 0 && !once) || len(p.conns) >= f.limits.ConnsPerPeer) {
 		return best
 	}
 	if c := f.dial(p); c != nil {
@@ -225,6 +236,11 @@
 	if at, ghost := c.ghosts[id]; ghost && now-at <= f.limits.PeerGhost {
 		return false
 	}
+	if len(c.open) == 0 && c.link != nil && now-c.rested > f.keep {
+		f.Counters.Stale++
+		c.shut()
+		return false
+	}
 	if c.asked != 0 && now-c.asked >= f.limits.PeerSilence {
 		if len(c.open) == 0 {
 			f.Counters.SilentConns++
@@ -367,7 +383,7 @@
 // Opened is the end of a dial. What was given up meanwhile is not sent.
 func (c *conn) Opened(link loop.Conn) {
 	c.f.files--
-	c.link, c.up = link, c.f.now()
+	c.link, c.up, c.rested = link, c.f.now(), c.f.now()
 	if c.closed {
 		link.Close()
 		return
@@ -391,24 +407,38 @@
 	c.line, c.spent = nil, true
 	for _, k := range line {
 		if c.open[k.id] == k {
-			c.f.move(k)
+			c.f.move(k, errors.Is(err, syscall.ECONNRESET))
 		}
 	}
 	c.gone(rules.ConnectFailed)
 }
 
-// move gives an attempt whose dial failed to another connection of the peer that works. A peer may hold no
-// more connections than it has; that one more failed proves nothing about it then.
-func (f *Fleet) move(k *call) {
+// redialsMost bounds the dials that one attempt makes because others were reset.
+const redialsMost = 2
+
+// move gives an attempt whose dial failed to another connection of the peer that works: a peer may hold no more
+// connections than it has, and that one more failed proves nothing about it then. A dial that was reset, other
+// than one that was refused, proves nothing in any case, and is made again.
+func (f *Fleet) move(k *call, reset bool) {
 	from := k.c
-	for _, c := range from.p.conns {
+	to := (*conn)(nil)
+	for _, c := range slices.Clone(from.p.conns) {
 		if c.link != nil && c.usable(k.id) {
-			f.Counters.Moved++
-			delete(from.open, k.id)
-			c.put(k)
-			return
+			to = c
+			break
 		}
 	}
+	if to == nil && reset && k.redials < redialsMost {
+		if to = f.dial(from.p); to != nil {
+			f.Counters.Redials++
+			k.redials++
+		}
+	}
+	if to != nil {
+		f.Counters.Moved++
+		delete(from.open, k.id)
+		to.put(k)
+	}
 }
 
 // Closed is the end of a connection: what was written may have run.
@@ -417,12 +447,36 @@
 	if !c.closed {
 		c.f.Counters.Closed++
 		if len(c.open) > 0 {
-			c.f.log(c.p, "connection lost with %d attempts out", len(c.open))
+			c.f.log(c.p, "connection lost after %v and %d answers with %d attempts out", c.f.now()-c.up, c.served,
+				len(c.open))
+		}
+		if !c.spoilt {
+			c.f.crossed(c)
 		}
 	}
 	c.gone(rules.Reset)
 }
 
+// crossed learns from a connection that was reset under the first request after it had been idle: a peer, or
+// what lies between, drops idle connections sooner than the settings tell. Idle ones are used again for less
+// long from then on.
+func (f *Fleet) crossed(c *conn) {
+	for _, k := range c.open {
+		if k.written && k.gap > 0 && len(c.open) == 1 {
+			f.Counters.Crossed++
+			f.keep = max(f.limits.PeerKeepLeast, min(f.keep, k.gap)*3/4)
+		}
+	}
+}
+
+// bore learns from an answer on a connection that had been idle for nearly as long as is allowed: slowly, so
+// that one in many is risked to find that idle connections hold again.
+func (f *Fleet) bore(k *call) {
+	if k.gap > f.keep*3/4 {
+		f.keep = min(f.limits.PeerIdle, f.keep+f.keep/64)
+	}
+}
+
 // lost ends a connection whose socket has failed under a write.
 func (c *conn) lost() { c.gone(rules.Reset) }
 
@@ -472,6 +526,7 @@
 		c.shut()
 		return
 	}
+	c.rested = c.f.now()
 	c.f.agenda.Set(&c.idle, c.f.now()+c.f.limits.PeerIdle, func() {
 		c.f.Counters.Idle++
 		c.shut()
@@ -491,6 +546,7 @@
 	}
 	if err != nil {
 		c.f.Counters.BadStream++
+		c.spoilt = true
 		return fmt.Errorf("%s: %w", c.p.name, err)
 	}
 	return nil
@@ -508,6 +564,8 @@
 	}
 	f.Counters.Answers++
 	c.last = a.id
+	c.served++
+	f.bore(k)
 	f.drop(k)
 	e, err := f.ending(a, k)
 	if err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -59,6 +59,7 @@
 	StreamsPerConn int           // attempts open on one connection
 	ConnectTimeout time.Duration // a connection not up by then has failed
 	PeerIdle       time.Duration // an idle connection is closed after this
+	PeerKeepLeast  time.Duration // connections idle for less are used again, whatever resets teach
 	PeerSilence    time.Duration // asked and silent for so long, a connection takes nothing new
 	PeerGhost      time.Duration // an answer that crosses a STOP is looked out for so long
 	PeerBacklog    int           // bytes a peer may leave unread
@@ -221,6 +222,7 @@
 		StreamsPerConn: 100,
 		ConnectTimeout: time.Second,
 		PeerIdle:       15 * time.Second,
+		PeerKeepLeast:  50 * time.Millisecond,
 		PeerSilence:    time.Second,
 		PeerGhost:      5 * time.Second,
 		PeerBacklog:    1 << 20,
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -58,6 +58,7 @@
 	Keep     uint8
 	How      rules.How
 	MaxAge   time.Duration
+	Once     bool // must not run twice
 }
 
 // Peers reaches caches, parents and the origin. Each Send is followed by one Director.Ended, unless Stop
@@ -395,6 +396,7 @@
 		d.close(h, a, r, Ending{Result: result})
 	})
 	c.Request, c.Patience = &r.Request, until-now
+	c.Once = d.settings.Services[r.Class].Effect == "non_idempotent"
 	if up != 0 {
 		c.Up = d.names[up]
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -28,7 +28,6 @@
 	ejectFirst = 500 * time.Millisecond // first ejection; doubles up to ejectMost while looks fail
 	ejectMost  = 4 * time.Second        // bounds how late a recovery is noticed
 	holdFor    = 50 * time.Millisecond  // wait before a request with no permitted target is tried again
-	brokeMost  = 3                      // resets without an answer between them that mark a host as down
 	limitFirst = 24.0                   // sendings of all routers from which a limit first comes down
 	hitRoom    = 3.0                    // times its limit that hits may go beyond a cache's limit
 	limitMost  = 2.0                    // or this times the work out, where that is more
@@ -170,7 +169,7 @@
 		d.servers[e.Host] = s
 		d.order = append(d.order, s)
 	} else if e.Started != s.Started && e.State != Gone {
-		s.ejected, s.backoff, s.looking, s.pace, s.broke = false, 0, false, 0, 0
+		s.ejected, s.backoff, s.looking, s.pace = false, 0, false, 0
 		s.void = d.now
 	}
 	if e.Started != 0 && e.Started != s.Started {
@@ -671,13 +670,13 @@
 	t, src := a.target, a.source
 	switch o.Result {
 	case OK, Miss, Refused, Errored:
-		t.broke, t.heard = 0, d.now
+		t.heard = d.now
 		if t.ejected && (a.look || o.Result == OK) {
 			d.readmit(t)
 		}
-	case Reset: // one says nothing of the host: answers arrive spoilt, connections break. A dead one breaks all
-		if t.broke++; t.broke >= brokeMost || a.look {
-			d.eject(t, "connections broke")
+	case Reset: // says nothing of the host: connections break, answers arrive spoilt. A dead one refuses the next
+		if a.look {
+			d.eject(looked(a), "look reset")
 		}
 	case ConnectFailed:
 		d.eject(t, "connection failed")
@@ -741,7 +740,7 @@
 
 func (d *Router) readmit(s *server) {
 	d.log("readmit %x after %v", uint64(s.Host), d.now-s.ejectedAt)
-	s.ejected, s.missed, s.broke, s.backoff = false, 0, 0, 0
+	s.ejected, s.missed, s.backoff = false, 0, 0
 }
 
 // tick takes attempts that are out for long as samples of pace, and sweeps.
--- a/rules/state.go
+++ b/rules/state.go
@@ -36,7 +36,6 @@
 	void               Time    // what the table says of its holdings from before is void
 	missed             int     // fills from it that failed since its last sign of life
 	heard              Time    // its last answer as target
-	broke              int     // attempts on it that were reset since its last answer
 	backoff            time.Duration
 	pace               float64 // logarithm of answer times over what they should be, a running mean
 	seats              float64 // routers that may send to it
