--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -118,17 +118,30 @@
 func (l *Loop) options() []gnet.Option {
 	return []gnet.Option{gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
 		gnet.WithLoadBalancing(gnet.SourceAddrHash), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-		gnet.WithLogger(logger{l.Logf}), gnet.WithTicker(true), gnet.WithWriteBufferCap(64 << 10)}
+		gnet.WithLogger(&logger{logf: l.Logf, now: time.Now}), gnet.WithTicker(true), gnet.WithWriteBufferCap(64 << 10)}
 }
 
-// logger passes on what gnet has to say in earnest.
-type logger struct{ logf func(string, ...any) }
+// logger passes on what gnet has to say in earnest, from whatever goroutine: of warnings one a second, as gnet
+// has one for each event that finds its connection closed, and clients could bring those in any number.
+type logger struct {
+	logf   func(string, ...any)
+	now    func() time.Time
+	mu     sync.Mutex
+	warned time.Time
+}
 
-func (l logger) Debugf(string, ...any)          {}
-func (l logger) Infof(string, ...any)           {}
-func (l logger) Warnf(format string, a ...any)  { l.logf("gnet: "+format, a...) }
-func (l logger) Errorf(format string, a ...any) { l.logf("gnet: "+format, a...) }
-func (l logger) Fatalf(format string, a ...any) { l.logf("gnet: "+format, a...) }
+func (l *logger) Debugf(string, ...any) {}
+func (l *logger) Infof(string, ...any)  {}
+func (l *logger) Warnf(format string, a ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := l.now(); now.Sub(l.warned) >= time.Second {
+		l.warned = now
+		l.logf("gnet: "+format, a...)
+	}
+}
+func (l *logger) Errorf(format string, a ...any) { l.logf("gnet: "+format, a...) }
+func (l *logger) Fatalf(format string, a ...any) { l.logf("gnet: "+format, a...) }
 
 // Address is where the loop listens; it is known from Boot on.
 func (l *Loop) Address() string { return l.address }
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -53,3 +53,20 @@
 		t.Error(err)
 	}
 }
+
+// Clients can make gnet warn for each event on a connection that has just been closed: that must not fill the log.
+func TestWarningsAreLoggedSparingly(t *testing.T) {
+	var clock time.Time
+	lines := 0
+	l := &logger{logf: func(string, ...any) { lines++ }, now: func() time.Time { return clock }}
+	for range 3 {
+		clock = clock.Add(2 * time.Second)
+		for range 100 {
+			l.Warnf("stale connection")
+		}
+	}
+	l.Errorf("in earnest")
+	if lines != 4 {
+		t.Errorf("%d lines, want 3 of 300 warnings and the error", lines)
+	}
+}
