Ask a cache once more for what it holds when an answer is overdue

No reset, no bad stream: answers that never came or came too late.

Cause: nothing in rules acted on an attempt between its sending and the client's give-up time.

Now tick asks the same cache again for what it holds (the request has run, so it has the object by then; a fill that is only slow makes a cheap miss), for reads only, once, if the cache has answered since, is under its limit, and the answer is overdue by thrice the cache's present pace; two copies in a hundred requests at most.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -28,6 +28,11 @@
 	ejectFirst = 500 * time.Millisecond // first ejection; doubles up to ejectMost while looks fail
 	ejectMost  = 4 * time.Second        // bounds how late a recovery is noticed
 	holdFor    = 50 * time.Millisecond  // wait before a request with no permitted target is tried again
+	copyAfter  = 0.7                    // part of its aim after which what is lost is asked for again
+	copyWork   = 1.1                    // times its sending time, on top
+	copyPace   = 3.0                    // and times what the cache takes by its present pace
+	copyShare  = 0.02                   // second copies for each request: a crowd must not double itself
+	copyMost   = 4.0                    // second copies that may be saved up
 	limitFirst = 24.0                   // sendings of all routers from which a limit first comes down
 	hitRoom    = 3.0                    // times its limit that hits may go beyond a cache's limit
 	limitMost  = 2.0                    // or this times the work out, where that is more
@@ -82,6 +87,7 @@
 		}
 		r.passOn = e.Write || d.s.Family.PassOn[e.Class]
 		d.reqs[e.ID] = r
+		d.copies = min(d.copies+copyShare, copyMost)
 		d.advance(r)
 	case Started:
 		if r := d.reqs[e.ID]; r != nil {
@@ -751,11 +757,30 @@
 			if d.now-a.sent > max(a.doubled, 2*a.expect) {
 				d.timed(a)
 			}
+			d.again(a)
 		}
 	}
 	d.sweep()
 }
 
+// again asks the cache of an attempt that is out for too long a second time, only for what it holds. Guards
+// against answers that are lost on the way: the request has run, so the cache has the object by now, and
+// nobody waits until the client gives up. A fill that is only slow makes this a cheap miss. Harm: a crowded
+// cache sends some objects twice.
+func (d *Router) again(a *attempt) {
+	c, r, t := &d.s.Services[a.class], d.reqs[a.id], a.target
+	slow := seconds(copyPace * a.expect.Seconds() * math.Exp(max(0, t.pace))) // for a cache as it is now
+	if !d.s.Ceilings.SecondCopies || c.Effect != "read_like" || r == nil || r.again || r.out != 1 || a.look ||
+		d.copies < 1 || t.heard <= a.sent || t.to.load+2*a.work > t.to.limit ||
+		d.now-a.sent < max(slow, seconds(copyAfter*c.Aim.Seconds()+copyWork*a.work)) {
+		return
+	}
+	if d.send(r, a.target, nil) {
+		r.again = true
+		d.copies--
+	}
+}
+
 // like are the servers of the same part: caches of our location, or parents.
 func (d *Router) like(s *server) []*server {
 	if s.role == edge {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -886,6 +886,52 @@
 	}
 }
 
+// Found in a recorded day: one answer in fifty never came, and its client waited to the end. A cache that has answered
+// others since is asked once more, for what it holds only: never twice, nor what must not run twice, nor in a
+// crowd, nor a cache that is silent itself.
+func TestOverdueAnswerIsAskedForOnce(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		change func(*world, *request)
+		class  int
+		want   int
+	}{
+		{"lost", func(*world, *request) {}, 0, 1},
+		{"silent cache", func(_ *world, r *request) { r.tries[0].target.heard = 0 }, 0, 0},
+		{"crowd", func(_ *world, r *request) { r.tries[0].target.to.limit = 0.01 }, 0, 0},
+		{"none saved up", func(w *world, _ *request) { w.r.copies = 0 }, 0, 0},
+		{"unsafe", func(*world, *request) {}, 3, 0},
+	} {
+		w := simpleWorld(t, func(s *Settings) { s.Ceilings.SecondCopies, s.Family.BypassAllowed = true, false })
+		w.read(1, 42, tc.class)
+		r := w.r.reqs[1]
+		w.r.copies = copyMost
+		r.tries[0].target.heard = r.tries[0].sent + 1
+		tc.change(w, r)
+		w.r.now += 100 * ms
+		for range 2 {
+			w.r.acts = w.r.acts[:0]
+			w.r.again(r.tries[0])
+			if len(w.r.acts) > 0 {
+				t.Errorf("%s: asked again when not overdue: %v", tc.name, w.r.acts)
+			}
+		}
+		w.r.now += 20 * time.Second
+		r.GiveUpAt = w.r.now + time.Second
+		for range 3 {
+			w.r.again(r.tries[0])
+		}
+		if got := len(w.r.acts); got != tc.want {
+			t.Errorf("%s: %d second copies, want %d: %v", tc.name, got, tc.want, w.r.acts)
+		}
+		for _, a := range w.r.acts {
+			if f, ok := a.(Fetch); !ok || f.Source != f.Host || f.Host != r.tries[0].target.Host {
+				t.Errorf("%s: asked again as %v, want the same cache for what it holds", tc.name, a)
+			}
+		}
+	}
+}
+
 // Found on docs days: what only the origin can do was held by its limit with the fills. It must go through
 // though the limit is reached.
 func TestLimitsSpareWhatOnlyTheOriginCanDo(t *testing.T) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -81,6 +81,7 @@
 	since           Time
 	looked, joins   bool      // asked for what is held; a fill is under way to join
 	asked           bool      // masters were asked
+	again           bool      // a second copy was sent
 	far             Host      // the cache of another location that a master named
 	avoid           []*server // failed it as target
 }
@@ -127,6 +128,7 @@
 	purges        map[purgeKey]purge
 	classes       []classStats
 	pace          float64 // of the fastest of our caches
+	copies        float64 // second copies that may be sent
 	started       bool
 	turned, swept Time
 	logAt         Time
