--- a/rules/rules.go
+++ b/rules/rules.go
@@ -680,7 +680,7 @@
 		if t.ejected && (a.look || o.Result == OK) {
 			d.readmit(t)
 		}
-	case Reset: // says nothing of the host: connections break, answers arrive spoilt. A dead one refuses the next
+	case Reset: // says nothing of the host: answers arrive spoilt. A dead one refuses the next connection
 		if a.look {
 			d.eject(looked(a), "look reset")
 		}
