Accept on a listening socket that EDGE_FD hands down

A probe that printed the program's own environment and descriptors: EDGE_FD=4 is a TCP socket that listens at EDGE_LISTEN (SO_ACCEPTCONN 1, no SO_REUSEPORT), so another bind must fail. At fault: loop.Run, which always binds (vacant, then gnet's own listener).

OnBoot comes before the loop watches its listener, so the inherited one is put in the place of gnet's own by dup3. Ruled out: gnet.Client with an acceptor of our own, as nothing tells when a client's loop has ended by itself. The socket is checked first: it must listen, and at the configured address.

Tests fail without the change; go test ./... is green.

--- a/cmd/shaleyard/main.go
+++ b/cmd/shaleyard/main.go
@@ -113,7 +113,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	p.loop = &loop.Loop{Agenda: &p.agenda, Now: p.clock.now, Front: front{p}, Logf: p.log.Printf,
-		Rejected: p.reject}
+		Rejected: p.reject, Inherited: c.Inherited}
 	p.fleet = caches.NewFleet(l, s, p.pool, p.loop, p.director, &p.agenda, p.clock.now, p.log.Printf)
 	p.director.Attach(p.fleet)
 	p.clients = clients.NewServer(l, s, p.pool, p.director, &p.agenda, p.clock.now)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,6 +24,8 @@
 	Known    Known
 	Settings rules.Settings
 	Limits   Limits
+
+	Inherited int // descriptor of a listening socket that was handed down; 0: none
 }
 
 // Known is the control feed's history at the start.
@@ -107,6 +109,7 @@
 }
 
 // Load reads the file that EDGE_CONFIG names. EDGE_NAME and EDGE_LISTEN, where set, must not contradict it.
+// EDGE_FD, where set, is the descriptor of a socket that listens there already.
 // The process may hold descriptors at most, whatever the file says.
 func Load(getenv func(string) string, descriptors uint64) (*Config, error) {
 	path := getenv("EDGE_CONFIG")
@@ -127,6 +130,11 @@
 	if v := getenv("EDGE_LISTEN"); v != "" && v != c.Listen {
 		return nil, fmt.Errorf("EDGE_LISTEN: %q, but listen is %q", v, c.Listen)
 	}
+	if v := getenv("EDGE_FD"); v != "" {
+		if c.Inherited, err = strconv.Atoi(v); err != nil || c.Inherited < 3 {
+			return nil, fmt.Errorf("EDGE_FD: %q is no descriptor", v)
+		}
+	}
 	return c, nil
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -68,7 +70,26 @@
 }
 
 func TestEnvironmentMustNotContradict(t *testing.T) {
-	if _, err := Load(func(string) string { return "" }, 1<<20); err == nil || !strings.Contains(err.Error(), "EDGE_CONFIG") {
-		t.Errorf("no EDGE_CONFIG: %v", err)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ name, value, field string }{
+		{"EDGE_CONFIG", "", "EDGE_CONFIG"},
+		{"EDGE_NAME", "n2", "EDGE_NAME"},
+		{"EDGE_LISTEN", "127.0.0.1:8081", "EDGE_LISTEN"},
+		{"EDGE_FD", "x", "EDGE_FD"},
+		{"EDGE_FD", "2", "EDGE_FD"}, // the log
+	} {
+		env := map[string]string{"EDGE_CONFIG": path, c.name: c.value}
+		_, err := Load(func(name string) string { return env[name] }, 1<<20)
+		if err == nil || !strings.HasPrefix(err.Error(), c.field) {
+			t.Errorf("%s=%s: error %v, want one that names %s", c.name, c.value, err, c.field)
+		}
+	}
+	env := map[string]string{"EDGE_CONFIG": path, "EDGE_NAME": "n1", "EDGE_FD": "7"}
+	c, err := Load(func(name string) string { return env[name] }, 1<<20)
+	if err != nil || c.Inherited != 7 {
+		t.Errorf("%+v, %v", c, err)
 	}
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -79,6 +79,8 @@
 	Logf func(format string, a ...any)
 	// Rejected is told why a stream was closed for what came on it.
 	Rejected func(reason error)
+	// Inherited is the descriptor of a listening socket that was handed down; 0: Run opens one of its own.
+	Inherited int
 
 	Agenda *director.Agenda
 	Now    func() rules.Time
@@ -97,10 +99,14 @@
 
 // Run listens on the address and serves until Stop.
 func (l *Loop) Run(address string) error {
-	if err := vacant(address); err != nil {
+	own, check := address, vacant
+	if l.Inherited != 0 {
+		own, check = "127.0.0.1:0", l.listens // gnet's own is given up in OnBoot, with nothing accepted on it
+	}
+	if err := check(address); err != nil {
 		return fmt.Errorf("listen %s: %w", address, err)
 	}
-	err := gnet.Run(l, "tcp://"+address, l.options()...)
+	err := gnet.Run(l, "tcp://"+own, l.options()...)
 	if l.alarm != nil {
 		l.alarm.Stop()
 	}
@@ -195,6 +201,10 @@
 // OnBoot implements gnet.EventHandler. The engine has no event loop yet: the doorbell must wait for OnTick.
 func (l *Loop) OnBoot(eng gnet.Engine) gnet.Action {
 	l.eng = eng
+	if err := l.adopt(); err != nil {
+		l.err = fmt.Errorf("inherited listener: %w", err)
+		return gnet.Shutdown
+	}
 	if err := l.locate(); err != nil {
 		l.err = fmt.Errorf("listener: %w", err)
 		return gnet.Shutdown
@@ -202,20 +212,75 @@
 	return gnet.None
 }
 
+// listens tells whether the inherited descriptor is a socket that listens at the address: on any other, accept
+// would end the engine.
+func (l *Loop) listens(address string) error {
+	listening, err := syscall.GetsockoptInt(l.Inherited, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN)
+	if err != nil || listening == 0 {
+		return fmt.Errorf("inherited descriptor %d does not listen (%v)", l.Inherited, err)
+	}
+	fd, err := syscall.Dup(l.Inherited)
+	if err != nil {
+		return os.NewSyscallError("dup", err)
+	}
+	at, err := boundTo(fd)
+	if err == nil && at != address {
+		err = fmt.Errorf("inherited descriptor %d listens at %s", l.Inherited, at)
+	}
+	return err
+}
+
+// adopt puts the inherited listener in the place of gnet's. Whoever handed it down may go on accepting from it:
+// it must not block, as a connection that woke the loop can be taken by the other before.
+func (l *Loop) adopt() error {
+	if l.Inherited == 0 {
+		return nil
+	}
+	if err := syscall.SetNonblock(l.Inherited, true); err != nil {
+		return os.NewSyscallError("fcntl", err)
+	}
+	// Accepted connections take this over from it; gnet sets it on its own.
+	if err := syscall.SetsockoptInt(l.Inherited, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1); err != nil {
+		return os.NewSyscallError("setsockopt", err)
+	}
+	duplicate, err := l.eng.Dup()
+	if err != nil {
+		return err
+	}
+	defer syscall.Close(duplicate)
+	var same, st syscall.Stat_t
+	if err := syscall.Fstat(duplicate, &same); err != nil {
+		return os.NewSyscallError("fstat", err)
+	}
+	for fd := range duplicate { // gnet's own was opened before it, so its number is lower
+		if syscall.Fstat(fd, &st) == nil && st.Dev == same.Dev && st.Ino == same.Ino {
+			if err := syscall.Dup3(l.Inherited, fd, syscall.O_CLOEXEC); err != nil {
+				return os.NewSyscallError("dup3", err)
+			}
+			return os.NewSyscallError("close", syscall.Close(l.Inherited))
+		}
+	}
+	return errors.New("gnet's listener was not found")
+}
+
 // locate asks the listener for its address, as the configured one may leave the port open.
 func (l *Loop) locate() error {
 	fd, err := l.eng.Dup()
-	if err != nil {
-		return err
+	if err == nil {
+		l.address, err = boundTo(fd)
 	}
+	return err
+}
+
+// boundTo tells where a listener is bound, and closes its descriptor.
+func boundTo(fd int) (string, error) {
 	f := os.NewFile(uintptr(fd), "listener")
 	defer f.Close()
 	ln, err := net.FileListener(f)
 	if err != nil {
-		return err
+		return "", err
 	}
-	l.address = ln.Addr().String()
-	return ln.Close()
+	return ln.Addr().String(), ln.Close()
 }
 
 // OnTick implements gnet.EventHandler. Its first call comes when the event loop is there, aside of it, and
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -54,6 +55,83 @@
 	}
 }
 
+// accepted tells of each connection, and turns it away.
+type accepted chan Conn
+
+func (a accepted) Accept(c Conn) Session {
+	a <- c
+	return nil
+}
+
+// handDown opens a listener and duplicates its descriptor, as whoever starts the program would hand it down.
+func handDown(t *testing.T) (ln *net.TCPListener, fd int) {
+	t.Helper()
+	ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	f, err := ln.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if fd, err = syscall.Dup(int(f.Fd())); err != nil {
+		t.Fatal(err)
+	}
+	return ln, fd
+}
+
+// A program that is started with the address bound already, and the listening socket in its hands, ended at once
+// with "address already in use". It accepts on that socket, and leaves it open to others when it ends.
+func TestInheritedListenerIsAcceptedOn(t *testing.T) {
+	ln, fd := handDown(t)
+	address, conns := ln.Addr().String(), make(accepted, 1)
+	up := make(chan struct{})
+	l := &Loop{Agenda: &director.Agenda{}, Now: func() rules.Time { return rules.Time(time.Now().UnixNano()) },
+		Logf: t.Logf, Front: conns, Boot: func() { close(up) }, Inherited: fd}
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(address) }()
+	select {
+	case <-up:
+	case err := <-ended:
+		t.Fatal(err)
+	}
+	if l.Address() != address {
+		t.Errorf("listens on %s, want %s", l.Address(), address)
+	}
+	if _, err := net.Dial("tcp", address); err != nil {
+		t.Fatal(err)
+	}
+	<-conns
+	l.Stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if _, err := net.Dial("tcp", address); err != nil {
+		t.Errorf("after the end: %v", err)
+	}
+	if _, err := ln.Accept(); err != nil {
+		t.Errorf("after the end: %v", err)
+	}
+}
+
+// What is no listener at the configured address must not be accepted on: gnet would end over it, or clients of
+// another address would be served.
+func TestInheritedDescriptorIsChecked(t *testing.T) {
+	_, elsewhere := handDown(t)
+	silent, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, fd := range []int{elsewhere, silent} {
+		if err := (&Loop{Inherited: fd}).Run("127.0.0.1:1"); err == nil {
+			t.Errorf("descriptor %d was taken", fd)
+		}
+		syscall.Close(fd)
+	}
+}
+
 // Clients can make gnet warn for each event on a connection that has just been closed: that must not fill the log.
 func TestWarningsAreLoggedSparingly(t *testing.T) {
 	var clock time.Time
