--- a/rules/rules.go
+++ b/rules/rules.go
@@ -604,8 +604,8 @@
 	return a.target, &a.target.to
 }
 
-// lost tells that an attempt is overdue by far more than its size and the cache's pace explain, while what was sent
-// after it has come in time over the same way: it never arrived, or its answer was lost.
+// lost tells that an attempt is overdue by more than its size and the cache's pace explain, while what was
+// sent after it has come in time over the same way: it never arrived, or its answer was lost.
 func (d *Router) lost(a *attempt) bool {
 	_, side := blamed(a)
 	should := a.told
@@ -790,10 +790,10 @@
 	d.sweep()
 }
 
-// again asks the cache of an attempt that is lost once more, only for what it holds, as the request has mostly run.
-// Guards against requests and answers that get lost on the way: nobody waits until the client gives up. Each copy
-// that brings the answer earns the next ones, so that losses pay for themselves, and a crowd, where the first
-// answer comes first, ends them. Harm: some objects are sent twice.
+// again asks the cache of an attempt that is lost once more, only for what it holds, as the request has mostly
+// run. Guards against requests and answers that get lost on the way: nobody waits until the client gives up.
+// Each copy that brings the answer earns the next ones, so that losses pay for themselves, and a crowd, where
+// the first answer comes first, ends them. Harm: some objects are sent twice.
 func (d *Router) again(a *attempt) {
 	r, t := d.reqs[a.id], a.target
 	if !d.s.Ceilings.SecondCopies || d.s.Services[a.class].Effect != "read_like" || r == nil || a.look ||
