Ask the next cache in rank where the first is at its limit

Cause: rules.route returned at the first cache in rank that was at its limit, though others had room. Now it goes on to the next one, if that is below two fifths of its own limit: it fills what it lacks, from the sibling or a parent.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -36,6 +36,7 @@
 	copiesEach = 2                      // copies of one request
 	limitFirst = 24.0                   // sendings of all routers from which a limit first comes down
 	hitRoom    = 3.0                    // times its limit that hits may go beyond a cache's limit
+	spillUpTo  = 0.4                    // part of its limit up to which a cache takes others' objects
 	limitMost  = 2.0                    // or this times the work out, where that is more
 	limitLeast = 2.0                    // mean sendings of the largest class left to all routers together
 	limitStep  = 0.2                    // part by which lateness lowers a limit, or work in time lifts it
@@ -223,11 +224,13 @@
 }
 
 // route tries the ordinary path and then its departures; it tells whether an attempt has left. What is
-// never kept goes straight to the origin, or through a cache with the origin as source.
+// never kept goes straight to the origin, or through a cache with the origin as source. Where a cache is at
+// its limit, the next in rank is asked, if it is far from its own: guards against refusals for a slow or
+// crowded cache beside an idle one. Harm: objects are filled a second time.
 func (d *Router) route(r *request) bool {
 	d.rank(d.caches, r.Object)
 	d.rank(d.upper, r.Object)
-	work := d.cost(r)
+	work, crowded := d.cost(r), false
 	for _, t := range d.caches {
 		switch {
 		case slices.Contains(r.avoid, t), r.passOn && (t.ejected || d.s.Family.BypassAllowed):
@@ -236,13 +239,17 @@
 				return true
 			}
 		case d.full(&t.to, work) && (d.likelyFill(r, t) || d.full(&t.to, work-hitRoom*t.to.limit)):
-			return d.bypass(r, parent)
+			crowded = true
+		case crowded && t.to.load > spillUpTo*t.to.limit:
 		case d.fill(r, t):
 			return true
 		case r.looked:
 			return false
 		}
 	}
+	if crowded {
+		return d.bypass(r, parent)
+	}
 	return d.bypass(r, origin)
 }
 
@@ -790,10 +797,10 @@
 	d.sweep()
 }
 
-// again asks the cache of an attempt that is lost once more, only for what it holds, as the request has mostly
-// run. Guards against requests and answers that get lost on the way: nobody waits until the client gives up.
-// Each copy that brings the answer earns the next ones, so that losses pay for themselves, and a crowd, where
-// the first answer comes first, ends them. Harm: some objects are sent twice.
+// again asks the cache of an attempt that is lost once more, only for what it holds, as the request has
+// mostly run. Guards against requests and answers that get lost on the way: nobody waits until the client
+// gives up. Each copy that brings the answer earns the next ones, so that losses pay for themselves, and a
+// crowd, where the first answer comes first, ends them. Harm: some objects are sent twice.
 func (d *Router) again(a *attempt) {
 	r, t := d.reqs[a.id], a.target
 	if !d.s.Ceilings.SecondCopies || d.s.Services[a.class].Effect != "read_like" || r == nil || a.look ||
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -993,6 +993,39 @@
 	}
 }
 
+// Found on the day garble+fleet: a cache that had become eight times slower was at its limit, and what the hash gave
+// to it was refused beside another cache at a third of its link. The next in rank takes it, but only with room.
+func TestNextCacheTakesWhatTheFirstHasNoRoomFor(t *testing.T) {
+	for _, tc := range []struct {
+		load float64 // of the next cache, against a limit of 8
+		want bool
+	}{{0, true}, {3.1, true}, {3.3, false}, {7, false}} {
+		w := simpleWorld(t, func(s *Settings) { s.Family.BypassAllowed = false })
+		w.r.rank(w.r.caches, 42)
+		first, next := w.r.caches[0], w.r.caches[1]
+		for i, c := range w.r.caches {
+			c.to.limit = 8
+			if c.to.load = 8; i == 1 {
+				c.to.load = tc.load
+			}
+		}
+		n := len(w.acts)
+		w.read(1, 42, 1)
+		sent := false
+		for _, a := range w.acts[n:] {
+			if f, ok := a.(Fetch); ok {
+				sent = true
+				if f.Host != next.Host {
+					t.Errorf("load %v: sent to %x, want %x, the next behind %x", tc.load, f.Host, next.Host, first.Host)
+				}
+			}
+		}
+		if sent != tc.want {
+			t.Errorf("load %v: sent %v, want %v", tc.load, sent, tc.want)
+		}
+	}
+}
+
 // Found on docs days: what only the origin can do was held by its limit with the fills. It must go through
 // though the limit is reached.
 func TestLimitsSpareWhatOnlyTheOriginCanDo(t *testing.T) {
