Blame a late fill on the cache where its hits are late and the source was quick

Cause: rules.throttle lowers the source's limit for each fill that is late. The fills were late because the cache's own link was crowded: the sources' first bytes had come at once (waited 40 to 120 ms). All three sources were down. Now a fill that would have been late without the wait for its source lowers the cache's limit, if the cache's latest hit was late as well; else, as before, the source's.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -583,7 +583,14 @@
 	if a.look || (o.Result != OK && o.Result != Refused && o.Result != TimedOut) {
 		return
 	}
-	late := o.After > c.Aim+seconds(c.AimStretch*a.work)
+	aim := c.Aim + seconds(c.AimStretch*a.work)
+	late := o.After > aim
+	switch to := &a.target.to; {
+	case s == to && (o.Note == NoteHit || o.Result != OK):
+		to.late = late || o.Result != OK
+	case a.target.role == edge && o.Result == OK && o.After-o.Waited > aim && to.late:
+		t, s = a.target, to // hits are late there too, and the source did not keep it waiting
+	}
 	if o.Result == OK && !late && (s == &a.target.to || o.Note == NoteFilledByOrigin) {
 		s.good = max(s.good, a.sent)
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1026,6 +1026,35 @@
 	}
 }
 
+// Found on the day garble+fleet: fills through a crowded cache were late, and the limits of all their sources came
+// down until nothing was filled at all. A late fill is the cache's fault where hits are late too and the source
+// kept it waiting for no time that matters.
+func TestLateFillBlamesWhoMadeItLate(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		hitsAfter time.Duration // how long the cache's latest hit took
+		waited    time.Duration // for the source, of the fill's 10 s
+		cache     bool
+	}{
+		{"crowded cache", 10 * time.Second, 10 * ms, true},
+		{"slow source", 10 * time.Second, 9990 * ms, false},
+		{"narrow source", 10 * ms, 10 * ms, false},
+	} {
+		w := simpleWorld(t, nil)
+		cache, src := w.r.servers[hostEdge], w.r.servers[hostParent]
+		w.r.throttle(&attempt{target: cache, work: 0.1}, Outcome{Result: OK, Note: NoteHit, After: tc.hitsAfter})
+		before := cache.to.limit
+		w.r.throttle(&attempt{target: cache, source: src, fill: true, work: 0.1},
+			Outcome{Result: OK, Note: NoteFilledByOrigin, After: 10 * time.Second, Waited: tc.waited})
+		if down := cache.to.limit < before; down != tc.cache {
+			t.Errorf("%s: cache blamed: %v, want %v", tc.name, down, tc.cache)
+		}
+		if down := !math.IsInf(src.from.limit, 1); down == tc.cache {
+			t.Errorf("%s: source blamed: %v, want %v", tc.name, down, !tc.cache)
+		}
+	}
+}
+
 // Found on docs days: what only the origin can do was held by its limit with the fills. It must go through
 // though the limit is reached.
 func TestLimitsSpareWhatOnlyTheOriginCanDo(t *testing.T) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -49,6 +49,7 @@
 // side is a server in one of its two parts, as target or as source.
 type side struct {
 	out         []*attempt
+	late        bool    // its latest hit was late, or has failed
 	good        Time    // when the latest attempt was sent that came in time, over the whole way
 	load, limit float64 // seconds of sending out and bound for it: hits for a target, likely fills for a source
 }
