Take no fills from a sibling that is slower than the others

Cause: rules.holder names the table's other holder as source whatever its pace. The design leaves health open ("a slow or hung sibling stays named until its entry expires"). Now one that has the pace at which its weight falls is passed over, and the parent fills.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -862,13 +862,16 @@
 // holder is a cache, other than one, that the table believes to hold a copy that will do; nil: none.
 func (d *Router) holder(r *request, other *server) *server {
 	for _, h := range r.held.by {
-		if h.host != other && d.usable(h.host) && d.now-h.at <= entryAge && d.valid(r, h) {
+		if h.host != other && d.usable(h.host) && d.now-h.at <= entryAge && d.valid(r, h) && !d.slow(h.host) {
 			return h.host
 		}
 	}
 	return nil
 }
 
+// slow tells that a cache takes far longer than the others of the location: fills from it would, too.
+func (d *Router) slow(s *server) bool { return s.pace > d.pace+paceSlack }
+
 // likelyFill tells that the table does not know the cache as a holder of a copy that will do.
 func (d *Router) likelyFill(r *request, t *server) bool {
 	by := &r.held.by
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1055,6 +1055,24 @@
 	}
 }
 
+// Found on the day fleet: of 33 fills from a sibling that had become slow, 13 timed out and 20 took fifteen times
+// as long as their size asked. It goes on serving hits at its own pace, but is no source; a parent is.
+func TestSlowSiblingFillsNothing(t *testing.T) {
+	for _, slow := range []bool{false, true} {
+		w := simpleWorld(t, nil)
+		w.r.rank(w.r.caches, 42)
+		other := w.r.caches[1]
+		r := &request{Request: Request{Object: 42, Group: 2}, held: &entry{}}
+		r.held.by[0] = holder{other, w.r.now}
+		if slow {
+			other.pace = w.r.pace + paceSlack + 0.1
+		}
+		if got := w.r.sibling(r, w.r.caches[0]); (got == nil) != slow {
+			t.Errorf("slow: %v, and the sibling is %v", slow, got)
+		}
+	}
+}
+
 // Found on docs days: what only the origin can do was held by its limit with the fills. It must go through
 // though the limit is reached.
 func TestLimitsSpareWhatOnlyTheOriginCanDo(t *testing.T) {
