Let one crowd of late answers lower a limit only to what it could bear

Cause: rules.throttle takes a fifth off the limit for each late answer. A crowd brings a hundred of them after the load is gone, and the limit ends at its floor. Now a late answer lowers it no further than to three tenths of the load beside which it would have been in time (load at its sending x time allowed / time taken): all of one crowd agree on that, and a source that stays slow at less load lowers it further.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -39,6 +39,7 @@
 	spillUpTo  = 0.4                    // part of its limit up to which a cache takes others' objects
 	limitMost  = 2.0                    // or this times the work out, where that is more
 	limitLeast = 2.0                    // mean sendings of the largest class left to all routers together
+	limitFit   = 0.3                    // part of the work beside which all were in time that a limit leaves
 	limitStep  = 0.2                    // part by which lateness lowers a limit, or work in time lifts it
 	coldUse    = 0.5                    // part of the cold budget we use: margin for chance
 	coldCarry  = 0.5                    // transfers a host of unknown size is taken to carry for us alone
@@ -355,6 +356,7 @@
 	t.to.out = append(t.to.out, a)
 	_, side := blamed(a)
 	side.load += work
+	a.load = side.load
 	get := Fetch{ID: r.ID, Host: t.Host, Source: t.Host, MaxAge: age}
 	get.Keep = uint8(min(r.held.uses, 2)) // seen once, it must not push out what is asked for again
 	if f.MergesFills {
@@ -568,8 +570,9 @@
 // throttle keeps the limits of our work out. A limit belongs to what was late or refused: a hit's to the
 // cache, a fill's to its source; work done in time near it raises it. What is beyond takes another source
 // or waits, and is refused once it could hardly be in time: a crowd in which all are late serves nobody.
-// Guards against overload, jams of fills, slow sources and slow caches. Harm: where sizes are not told,
-// large ones look late.
+// All that are late in one crowd lower it together to a part of the load beside which they would have been
+// in time, no further: else one crowd would shut a cache for seconds. Guards against overload, jams of
+// fills, slow sources and slow caches. Harm: where sizes are not told, large ones look late.
 func (d *Router) throttle(a *attempt, o Outcome) {
 	c := &d.s.Services[a.class]
 	t, s := blamed(a)
@@ -600,7 +603,12 @@
 	switch {
 	case o.Result != OK || late:
 		top := max(limitFirst*a.work/t.seats, limitMost*(s.load+a.work))
-		s.limit = max(limitLeast*d.largest()/t.seats, min(s.limit, top)*(1-limitStep))
+		beside := a.load
+		if _, own := blamed(a); own != s {
+			beside = s.load + a.work
+		}
+		fit := limitFit * beside * aim.Seconds() / max(o.After, aim).Seconds()
+		s.limit = max(limitLeast*d.largest()/t.seats, min(s.limit, top)*(1-limitStep), min(s.limit, fit))
 	case s.load+a.work > s.limit/2:
 		s.limit += a.work * limitStep // by work done in time: a low limit recovers within seconds
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1073,6 +1073,28 @@
 	}
 }
 
+// Found on the day fleet: a crowd of a hundred late answers took a fifth off a limit each, so that a healthy cache got
+// 14 requests a second instead of 70 until its limit had grown again. A crowd lowers it to a part of the load beside
+// which its answers would have been in time; one that is still late at that load lowers it further.
+func TestOneCrowdDoesNotShutACache(t *testing.T) {
+	w := simpleWorld(t, nil)
+	cache := w.r.servers[hostEdge]
+	c := &w.s.Services[0]
+	late := func(load, work float64) {
+		aim := c.Aim + seconds(c.AimStretch*work)
+		for range 100 {
+			w.r.throttle(&attempt{target: cache, work: work, load: load}, Outcome{Result: OK, Note: NoteHit, After: 4 * aim})
+		}
+	}
+	work := 2 * w.r.largest()
+	for _, load := range []float64{400 * work, 200 * work} {
+		late(load, work)
+		if want := limitFit * load / 4; math.Abs(cache.to.limit-want) > 1e-9 {
+			t.Errorf("after a crowd of %v: limit %v, want %v", load, cache.to.limit, want)
+		}
+	}
+}
+
 // Found on docs days: what only the origin can do was held by its limit with the fills. It must go through
 // though the limit is reached.
 func TestLimitsSpareWhatOnlyTheOriginCanDo(t *testing.T) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -60,6 +60,7 @@
 	no, class      int
 	target, source *server // source nil: none
 	sent           Time
+	load           float64       // out on its side when it was sent, with it
 	work, told     float64       // seconds of sending: as budgets and limits count it, and as told
 	expect         time.Duration // to an answer
 	doubled        time.Duration // its time out at which it is next a sample of pace
