Ask the next cache in rank where the first has more out than its link can send in time

Cause: rules.route goes by the hash until a limit has come down; what is bound for a cache as a whole was not counted. Now each server counts the sending that is out at it. One with more than its weight, at its pace, can send within the request's aim is passed over, if another is free: not slow, not ejected, below three fifths of that.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -36,7 +36,7 @@
 	copiesEach = 2                      // copies of one request
 	limitFirst = 24.0                   // sendings of all routers from which a limit first comes down
 	hitRoom    = 3.0                    // times its limit that hits may go beyond a cache's limit
-	spillUpTo  = 0.4                    // part of its limit up to which a cache takes others' objects
+	spillUpTo  = 0.6                    // part of its limit up to which a cache takes others' objects
 	limitMost  = 2.0                    // or this times the work out, where that is more
 	limitLeast = 2.0                    // mean sendings of the largest class left to all routers together
 	limitFit   = 0.3                    // part of the work beside which all were in time that a limit leaves
@@ -226,12 +226,14 @@
 
 // route tries the ordinary path and then its departures; it tells whether an attempt has left. What is
 // never kept goes straight to the origin, or through a cache with the origin as source. Where a cache is at
-// its limit, the next in rank is asked, if it is far from its own: guards against refusals for a slow or
-// crowded cache beside an idle one. Harm: objects are filled a second time.
+// its limit, or is swamped and another one is not, the next in rank is asked that is not slow and far from
+// that: guards against refusals and late answers beside an idle cache. Harm: objects are filled once more.
 func (d *Router) route(r *request) bool {
 	d.rank(d.caches, r.Object)
 	d.rank(d.upper, r.Object)
-	work, crowded := d.cost(r), false
+	work, last := d.cost(r), origin
+	free := func(t *server) bool { return !t.ejected && !d.slow(t) && !d.swamped(r, t, spillUpTo) }
+	room := slices.ContainsFunc(d.caches, free)
 	for _, t := range d.caches {
 		switch {
 		case slices.Contains(r.avoid, t), r.passOn && (t.ejected || d.s.Family.BypassAllowed):
@@ -239,19 +241,17 @@
 			if d.mayLook(t) && d.send(r, t, nil) {
 				return true
 			}
-		case d.full(&t.to, work) && (d.likelyFill(r, t) || d.full(&t.to, work-hitRoom*t.to.limit)):
-			crowded = true
-		case crowded && t.to.load > spillUpTo*t.to.limit:
+		case room && d.swamped(r, t, 1),
+			d.full(&t.to, work) && (d.likelyFill(r, t) || d.full(&t.to, work-hitRoom*t.to.limit)):
+			last = parent
+		case last == parent && (!free(t) || t.to.load > spillUpTo*t.to.limit):
 		case d.fill(r, t):
 			return true
 		case r.looked:
 			return false
 		}
 	}
-	if crowded {
-		return d.bypass(r, parent)
-	}
-	return d.bypass(r, origin)
+	return d.bypass(r, last)
 }
 
 // fill asks a cache, with the source that the tiers give: sibling, parent, origin. A source that is at its
@@ -304,6 +304,12 @@
 	return s.load+work > s.limit && (s.load > work/2 || d.rng.Float64()*work > s.limit)
 }
 
+// swamped tells that a cache has more out than a part of what its link, at its pace, can send within the aim.
+func (d *Router) swamped(r *request, t *server, part float64) bool {
+	c, work := &d.s.Services[r.Class], d.cost(r)
+	return t.sized && t.sending+work > part*d.weight(t)/t.seats*(c.Aim.Seconds()+c.AimStretch*work)
+}
+
 // maySource tells whether a parent may be the request's source: a miss or refusal has moved it up a tier.
 func (d *Router) maySource(r *request, p *server) bool {
 	return r.tier <= parent && !r.passOn && (!p.ejected || d.mayLook(p))
@@ -354,6 +360,7 @@
 	r.tries, r.out, r.waiting = append(r.tries, a), r.out+1, false
 	d.tries[uint64(r.ID)<<16|uint64(a.no)] = a
 	t.to.out = append(t.to.out, a)
+	t.sending += work
 	_, side := blamed(a)
 	side.load += work
 	a.load = side.load
@@ -418,6 +425,7 @@
 		a.source.from.out = slices.DeleteFunc(a.source.from.out, is)
 	}
 	a.out = false
+	a.target.sending -= a.work
 	_, side := blamed(a)
 	side.load -= a.work
 	switch o.Result {
@@ -603,10 +611,7 @@
 	switch {
 	case o.Result != OK || late:
 		top := max(limitFirst*a.work/t.seats, limitMost*(s.load+a.work))
-		beside := a.load
-		if _, own := blamed(a); own != s {
-			beside = s.load + a.work
-		}
+		beside := max(a.load, s.load+a.work)
 		fit := limitFit * beside * aim.Seconds() / max(o.After, aim).Seconds()
 		s.limit = max(limitLeast*d.largest()/t.seats, min(s.limit, top)*(1-limitStep), min(s.limit, fit))
 	case s.load+a.work > s.limit/2:
@@ -812,10 +817,9 @@
 	d.sweep()
 }
 
-// again asks the cache of an attempt that is lost once more, only for what it holds, as the request has
-// mostly run. Guards against requests and answers that get lost on the way: nobody waits until the client
-// gives up. Each copy that brings the answer earns the next ones, so that losses pay for themselves, and a
-// crowd, where the first answer comes first, ends them. Harm: some objects are sent twice.
+// again asks the cache of an attempt that is lost once more, only for what it holds, as it has mostly run. A
+// copy that brings the answer earns the next ones: losses pay for themselves, and a crowd, where the first
+// answer comes first, ends them. Harm: some objects are sent twice.
 func (d *Router) again(a *attempt) {
 	r, t := d.reqs[a.id], a.target
 	if !d.s.Ceilings.SecondCopies || d.s.Services[a.class].Effect != "read_like" || r == nil || a.look ||
--- a/rules/state.go
+++ b/rules/state.go
@@ -42,6 +42,7 @@
 	coldFrom, multiple float64 // share of its capacity at a cold start; times of it at which it falls over
 	ramp               time.Duration
 	cold               Time    // start of a cold life, as listed or as supposed; 0: warm
+	sending            float64 // seconds of sending out at it as target
 	spent, carried     float64 // seconds of sending: cold budget in use; lately done for us
 	spentAt, carriedAt Time
 }
