Hand the loop over through a UDP socket on loopback, not a pair of Unix sockets

Cause: internal/loop hang() registered one end of syscall.Socketpair(AF_UNIX) with gnet only to get a handle on the event loop; net.FileConn on it fails there.

Change: the doorbell is a UDP socket connected to one of its own on 127.0.0.1. gnet gives a connected datagram socket no OnOpen, so the loop is booted through Execute on the handle that Register returns; a client that comes first still boots it, once.

New test TestBootsOnAnIPv4Doorbell fails with the pair of Unix sockets.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -8,8 +8,8 @@
 //   - Engine.Register asks a load balancer for the loop, and the default one counts round without a lock:
 //     a data race between dials. SourceAddrHash keeps no state, and dials go to the loop itself.
 //   - OnTick runs on a goroutine of its own, not on the loop. Deadlines come through EventLoop.Execute, and
-//     an EventLoop is handed out only through a Conn: the first tick registers one end of a socket pair to
-//     get it, as OnBoot is called before there is a loop to register with.
+//     an EventLoop is handed out only through a Conn: the first tick registers a connected UDP socket to
+//     get it, as OnBoot is called before there is a loop to register with. Such a socket gets no OnOpen.
 //   - Write passes on what the socket takes and copies the rest into an elastic buffer without a bound;
 //     nothing tells when it has drained. So bodies are written whole and OutboundBuffered is bounded here.
 //   - A failed write closes the connection and calls OnClose before Write returns: all handlers must bear
@@ -195,7 +195,7 @@
 	}))
 }
 
-// doorbell is the session of the socket pair.
+// doorbell is the context of the socket that hands the loop over.
 type doorbell struct{}
 
 // OnBoot implements gnet.EventHandler. The engine has no event loop yet: the doorbell must wait for OnTick.
@@ -298,44 +298,55 @@
 }
 
 func (l *Loop) hang() error {
-	ours, bell, err := pair()
+	bell, err := ring()
 	if err != nil {
 		return err
 	}
-	l.bell = ours
+	l.bell = bell
 	ctx := gnet.NewContext(gnet.NewNetConnContext(context.Background(), bell), doorbell{})
 	registered, err := l.eng.Register(ctx)
 	if err != nil {
 		return err
 	}
-	return (<-registered).Err
+	r := <-registered
+	if r.Err != nil {
+		return r.Err
+	}
+	// A connected datagram socket gets no OnOpen: the loop is booted through its handle instead.
+	el := r.Conn.EventLoop()
+	return el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		defer l.arm()
+		l.boot(el)
+		return nil
+	}))
 }
 
-func pair() (a, b net.Conn, err error) {
-	fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+// ring opens the doorbell: a UDP socket on loopback, connected to one of its own that is closed again. Where
+// directors are played in numbers, a process has sockets of IPv4 alone, TCP and UDP, and a pair of Unix
+// sockets ended the program at its start; nothing is ever sent on this one.
+func ring() (net.Conn, error) {
+	peer, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
-	var conns [2]net.Conn
-	for i, fd := range fds {
-		f := os.NewFile(uintptr(fd), "doorbell")
-		c, err2 := net.FileConn(f)
-		f.Close()
-		conns[i], err = c, errors.Join(err, err2)
-	}
-	return conns[0], conns[1], err
+	defer peer.Close()
+	return net.DialUDP("udp4", nil, peer.LocalAddr().(*net.UDPAddr))
 }
 
-// OnOpen implements gnet.EventHandler. The first connection boots. As a rule that is the doorbell, but where
-// clients kept coming while the program was down, one of them may be first, and its request needs the loop.
-func (l *Loop) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	defer l.arm()
+// boot hands the loop over and boots, once, on the loop.
+func (l *Loop) boot(el gnet.EventLoop) {
 	if l.el == nil {
-		l.el = c.EventLoop()
+		l.el = el
 		l.Boot()
 	}
+}
+
+// OnOpen implements gnet.EventHandler. As a rule the doorbell boots, but where clients kept coming while the
+// program was down, one of them may be first, and its request needs the loop.
+func (l *Loop) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	defer l.arm()
+	l.boot(c.EventLoop())
 	switch x := c.Context().(type) {
-	case doorbell:
 	case *dial:
 		_ = c.SetNoDelay(true)
 		c.SetContext(x.stream)
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -148,3 +148,27 @@
 		t.Errorf("%d lines, want 3 of 300 warnings and the error", lines)
 	}
 }
+
+// Where directors are played in their hundreds, a process may open IPv4 sockets alone. The doorbell was a pair
+// of Unix sockets and every director ended at its start; the loop must boot with no client and no such pair.
+func TestBootsOnAnIPv4Doorbell(t *testing.T) {
+	booted := make(chan struct{})
+	l := &Loop{Agenda: &director.Agenda{}, Now: func() rules.Time { return rules.Time(time.Now().UnixNano()) },
+		Logf: t.Logf, Front: nobody{}, Boot: func() { close(booted) }}
+	ended := make(chan error)
+	go func() { ended <- l.Run("127.0.0.1:0") }()
+	select {
+	case <-booted:
+	case <-time.After(20 * time.Second): // only so that a failure ends
+		t.Fatal("the loop did not boot without a client")
+	}
+	l.Do(func() {
+		if at, ok := l.bell.LocalAddr().(*net.UDPAddr); !ok || at.IP.To4() == nil {
+			t.Errorf("the doorbell is at %v, not an IPv4 socket", l.bell.LocalAddr())
+		}
+		l.Stop()
+	})
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
