Log all counters every 5 s, not only at the exit and on SIGUSR1

Change: Limits.ReportEvery (5 s) and a deadline on the agenda that writes the line again; one JSON line per director every 5 s. TestCountersAreLoggedAsTheProgramRuns fails without it (no line while the program runs).

--- a/cmd/shaleyard/main.go
+++ b/cmd/shaleyard/main.go
@@ -126,6 +126,14 @@
 func (p *program) boot() {
 	p.started = p.clock.now()
 	p.feed.Start()
+	p.agenda.At(p.started+p.limits.ReportEvery, p.reportAgain)
+}
+
+// reportAgain writes the counters at every ReportEvery. With hundreds of directors, each meeting most caches
+// seldom, what the fleet did is counted from these lines: a line at the exit alone is lost to SIGKILL.
+func (p *program) reportAgain() {
+	p.report()
+	p.agenda.At(p.clock.now()+p.limits.ReportEvery, p.reportAgain)
 }
 
 // obey carries out signals.
--- a/cmd/shaleyard/stories_test.go
+++ b/cmd/shaleyard/stories_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -56,6 +57,12 @@
 
 // startWith limits the program's descriptors.
 func startWith(t *testing.T, sockets int) *site {
+	t.Helper()
+	return launch(t, sockets, io.Discard, nil)
+}
+
+// launch starts the program with its log going to logTo and its limits changed.
+func launch(t *testing.T, sockets int, logTo io.Writer, change func(*config.Limits)) *site {
 	t.Helper()
 	s := &site{t: t, cache: nettest.Listen(t), origin: nettest.Listen(t), feed: nettest.Listen(t),
 		ended: make(chan error, 1)}
@@ -63,7 +70,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.p, err = assemble(c, io.Discard); err != nil {
+	if change != nil {
+		change(&c.Limits)
+	}
+	if s.p, err = assemble(c, logTo); err != nil {
 		t.Fatal(err)
 	}
 	if err := s.p.feed.Replay(c.Known); err != nil {
@@ -470,3 +480,32 @@
 		t.Error(err)
 	}
 }
+
+// lines passes on each line written to the log.
+type lines chan string
+
+func (l lines) Write(b []byte) (int, error) {
+	select {
+	case l <- string(b):
+	default: // nobody reads any more: the loop must not wait
+	}
+	return len(b), nil
+}
+
+// Directors in their hundreds are killed at the end of a day: counters written only at the exit were never
+// seen, and nothing could be counted across the fleet. They are written as the program runs.
+func TestCountersAreLoggedAsTheProgramRuns(t *testing.T) {
+	logged := make(lines, 64)
+	launch(t, 1024, logged, func(l *config.Limits) { l.ReportEvery = 10 * time.Millisecond })
+	late := time.After(20 * time.Second) // only so that a failure ends
+	for seen := 0; seen < 2; {
+		select {
+		case line := <-logged:
+			if strings.Contains(line, "counters {") {
+				seen++
+			}
+		case <-late:
+			t.Fatalf("%d lines of counters while the program runs", seen)
+		}
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -83,6 +83,9 @@
 	DrainAccept time.Duration // after SIGTERM connections and requests are still taken for so long
 	DrainCheck  time.Duration // between looks whether all is answered
 	DrainMost   time.Duration // after SIGTERM the program ends no later
+
+	// Logs.
+	ReportEvery time.Duration // all counters are logged so often, so that a fleet can be counted from its logs
 }
 
 type document struct {
@@ -248,6 +251,8 @@
 		DrainAccept: 700 * time.Millisecond,
 		DrainCheck:  5 * time.Millisecond,
 		DrainMost:   longest + 650*time.Millisecond,
+
+		ReportEvery: 5 * time.Second,
 	}
 	l.BufferCount = memory / 3 / l.BufferSize
 	if s.Ceilings.OpenCap > 0 {
