Pace calls of the list service by the fleet's size, our number and what failed

Need: hundreds of directors dialled the list service at one instant, came back at once after a loss and every 100 ms for ever after a failed dial (seen with 60 processes: 75 connects within 110 ms after a break; 3,000 in 5 s at a service that accepts and closes).

Change: internal/pacing holds the decision, with no I/O: each director has a slot in a spread of 1.5 s (the 2 s on drains less a call of 0.5 s), refusals grow to that at most, time-outs and unfit service to 6.5 s (the 7 s on the feed less a call), and a budget of 4 calls gains one in 1.5 s. internal/feed tells refused, timed out, unfit, broke and silent apart, keeps the old stream until its turn when the operators move the feed, and gives a service behind our numbers time to catch up; one that stays behind is asked for everything, and who was draining stays so. A list in the configuration makes a director ready at once, as its call comes within the time that a drain may be heeded late.

--- a/cmd/shaleyard/main.go
+++ b/cmd/shaleyard/main.go
@@ -24,6 +24,7 @@
 	"shaleyard/internal/director"
 	"shaleyard/internal/feed"
 	"shaleyard/internal/loop"
+	"shaleyard/internal/pacing"
 	"shaleyard/rules"
 )
 
@@ -118,7 +119,9 @@
 	p.director.Attach(p.fleet)
 	p.clients = clients.NewServer(l, s, p.pool, p.director, &p.agenda, p.clock.now)
 	p.clients.Ready = p.ready
-	p.feed = feed.New(l, s, c.Feed, p.loop, p.director, &p.agenda, p.clock.now, p.log.Printf)
+	calls := pacing.NewListCalls(pacing.ListBounds{Directors: s.Balancers, Me: int(s.Me), Heed: l.FeedHeed,
+		Late: l.FeedLate, Silence: l.FeedSilence, Call: l.FeedCall, Least: l.FeedRetry}, c.Seed)
+	p.feed = feed.New(l, s, c.Feed, calls, p.loop, p.director, &p.agenda, p.clock.now, p.log.Printf)
 	return p, nil
 }
 
@@ -181,10 +184,13 @@
 	return nil
 }
 
-// ready tells whether the front may send clients here: the feed is up, or has been waited for, and no stop
-// has been asked for.
+// ready tells whether the front may send clients here: there is a list, or it has been waited for, and no stop
+// has been asked for. The list that the configuration hands down will do: it is the feed's up to now, and the
+// call that brings what comes after it is made within the time that a drain may be heeded late. So the fleet's
+// calls can be spread without a client waiting for its director's turn.
 func (p *program) ready() bool {
-	return p.stopping == 0 && (p.feed.Connected() || p.clock.now()-p.started > p.limits.FeedWait)
+	return p.stopping == 0 &&
+		(p.feed.Listed() || p.feed.Connected() || p.clock.now()-p.started > p.limits.FeedWait)
 }
 
 // reject counts a connection that was closed for what came on it. At most one a second is logged: who sends
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -70,9 +70,12 @@
 
 	// Control feed.
 	FeedLine    int           // bytes of one line
-	FeedSilence time.Duration // no line for so long: reconnect
-	FeedRetry   time.Duration // between attempts to connect
-	FeedWait    time.Duration // readiness waits for the feed no longer
+	FeedSilence time.Duration // no line for so long: call again
+	FeedRetry   time.Duration // shortest wait after a call that failed
+	FeedCall    time.Duration // a call takes no longer with the service well: connect, subscribe, read what was missed
+	FeedHeed    time.Duration // within which a drain must be heeded from when the service has it
+	FeedLate    time.Duration // after which its news count as told though nothing arrived
+	FeedWait    time.Duration // readiness waits for a list no longer
 	Members     int           // members held at once
 
 	// Buffers.
@@ -243,6 +246,9 @@
 		FeedLine:    4 << 20,
 		FeedSilence: 1300 * time.Millisecond,
 		FeedRetry:   100 * time.Millisecond,
+		FeedCall:    500 * time.Millisecond,
+		FeedHeed:    2 * time.Second,
+		FeedLate:    7 * time.Second, // protocol page, 'Figures'
 		FeedWait:    time.Second,
 		Members:     4096,
 
@@ -261,6 +267,9 @@
 	if v := t.Ceilings.ConnectTimeout; v > 0 {
 		l.ConnectTimeout = v
 	}
+	if v := s.Guarantees.DrainGrace; v > 0 {
+		l.FeedHeed = v
+	}
 	if v := t.Ceilings.Keepalive; v > 0 {
 		l.PeerIdle = v * 3 / 4 // before the peer does: an attempt that crosses its close may have run
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -1,5 +1,6 @@
 // Package feed follows the control feed: numbered events on a TCP stream, one JSON object a line, that tell
-// of members and purges. It resumes behind the last event it has after every loss.
+// of members and purges. It resumes behind the last event it has after every loss, at the pace that
+// internal/pacing gives.
 package feed
 
 import (
@@ -9,11 +10,13 @@
 	"fmt"
 	"net/netip"
 	"strconv"
+	"syscall"
 	"time"
 
 	"shaleyard/internal/config"
 	"shaleyard/internal/director"
 	"shaleyard/internal/loop"
+	"shaleyard/internal/pacing"
 	"shaleyard/rules"
 )
 
@@ -27,6 +30,20 @@
 type Counters struct {
 	Connects, ConnectsFailed, Losses, Silences, Redirects uint64
 	Lines, Events, BadLines, SkippedEntries               uint64
+	Ends                                                  Ends
+	Behind, Resyncs, KeptDrains                           uint64
+}
+
+// Ends count the ends of calls by kind.
+type Ends [pacing.Silent + 1]uint64
+
+// MarshalJSON names the kinds.
+func (e Ends) MarshalJSON() ([]byte, error) {
+	m := map[string]uint64{}
+	for i, n := range e {
+		m[pacing.End(i).String()] = n
+	}
+	return json.Marshal(m)
 }
 
 // Follower follows one feed.
@@ -41,18 +58,36 @@
 	now     func() rules.Time
 	zones   map[string]int
 	kinds   map[string]int
+	calls   *pacing.ListCalls
+	moveTo  string // address to go over to with the next dial; "": none
 	last    uint64 // number of the last event taken
+	index   uint64 // the latest list's version
+	list    map[string]state
+	behind  int  // streams in a row whose numbers were behind ours
+	replay  bool // after a new start of the numbers, until the service's last event is reached
 	stream  *stream
 	silence director.Entry
 	again   director.Entry // the next dial
 	logf    func(string, ...any)
 }
 
+// state is what the list last told of a member, also of one that has gone.
+type state struct {
+	state   rules.State
+	started time.Duration
+}
+
+// behindMost is the number of streams in a row, each given FeedSilence to catch up, after which numbers that are
+// behind ours are taken for a service that counts anew. They come at the pace of unfit calls: that is well over
+// the time after which its news count as told, so nothing is lost by waiting, and a replica that lags is not
+// mistaken for one.
+const behindMost = 5
+
 // New returns a follower of the feed at the address, for the settings' zones and kinds.
-func New(l *config.Limits, s *rules.Settings, address string, d loop.Dialer, sink Sink,
+func New(l *config.Limits, s *rules.Settings, address string, calls *pacing.ListCalls, d loop.Dialer, sink Sink,
 	a *director.Agenda, now func() rules.Time, logf func(string, ...any)) *Follower {
-	f := &Follower{limits: l, address: address, dialer: d, sink: sink, agenda: a, now: now,
-		zones: map[string]int{}, kinds: map[string]int{}, logf: logf}
+	f := &Follower{limits: l, address: address, calls: calls, dialer: d, sink: sink, agenda: a, now: now,
+		zones: map[string]int{}, kinds: map[string]int{}, list: map[string]state{}, logf: logf}
 	for i, z := range s.Zones {
 		f.zones[z] = i
 	}
@@ -65,7 +100,7 @@
 // Replay takes the events that the configuration holds.
 func (f *Follower) Replay(k config.Known) error {
 	for i, e := range k.Events {
-		if err := f.take(e, false); err != nil {
+		if err := f.take(e, nil); err != nil {
 			return fmt.Errorf("known.events[%d]: %w", i, err)
 		}
 	}
@@ -76,8 +111,21 @@
 	return nil
 }
 
-// Start connects and from then on keeps the feed up.
-func (f *Follower) Start() {
+// Start calls the feed when it is our turn, and from then on keeps it up.
+func (f *Follower) Start() { f.agenda.Set(&f.again, f.calls.Start(f.now()), f.dial) }
+
+// dial opens a stream. One that is up until then, because the operators have named another service, is given up
+// first, so that no event can come twice or out of turn.
+func (f *Follower) dial() {
+	if f.moveTo != "" {
+		f.address, f.moveTo = f.moveTo, ""
+	}
+	if old := f.stream; old != nil {
+		f.stream = nil
+		if old.link != nil {
+			old.link.Close()
+		}
+	}
 	f.stream = &stream{f: f}
 	f.dialer.Dial(f.address, f.limits.ConnectTimeout, f.stream)
 }
@@ -85,8 +133,11 @@
 // Connected tells whether the feed is up.
 func (f *Follower) Connected() bool { return f.stream != nil && f.stream.link != nil }
 
-// retry gives the present stream up and connects again: at once after a live one, later after a failed dial.
-func (f *Follower) retry(s *stream, wait time.Duration) {
+// Listed tells whether there is a list to work by: the one of the configuration, or one that has come since.
+func (f *Follower) Listed() bool { return f.last > 0 }
+
+// retry gives the present stream up and calls again in its time.
+func (f *Follower) retry(s *stream, e pacing.End) {
 	if f.stream != s {
 		return
 	}
@@ -95,23 +146,23 @@
 	if s.link != nil {
 		s.link.Close()
 	}
-	f.agenda.Set(&f.again, f.now()+wait, f.Start)
+	f.Counters.Ends[e]++
+	now := f.now()
+	at := f.calls.Next(now, e)
+	f.logf("feed at %s %v: call again in %v behind event %d, %d failures in a row", f.address, e,
+		(at - now).Round(time.Millisecond), f.last, f.calls.Failures())
+	f.agenda.Set(&f.again, at, f.dial)
 }
 
-// Redirect follows the feed at another address from now on, behind the last event taken. What the old one
-// still says counts no more: its stream is given up before the new one is opened, so that no event can come
-// twice or out of turn.
+// Redirect goes over to the feed at another address, behind the last event taken. All directors are told to do so
+// at once: each goes when it is its turn, and follows the old feed until then.
 func (f *Follower) Redirect(address string) {
-	if address == f.address {
+	if address == f.address && f.moveTo == "" {
 		return
 	}
-	f.address = address
+	f.moveTo = address
 	f.Counters.Redirects++
-	if f.stream != nil {
-		f.retry(f.stream, 0)
-		return
-	}
-	f.agenda.Set(&f.again, f.now(), f.Start)
+	f.agenda.Set(&f.again, f.calls.Move(f.now()), f.dial)
 }
 
 // listen limits the time to the next line. A feed that is cut off says nothing: only this ends it, and what
@@ -119,49 +170,74 @@
 func (f *Follower) listen(s *stream) {
 	f.agenda.Set(&f.silence, f.now()+f.limits.FeedSilence, func() {
 		f.Counters.Silences++
-		f.logf("feed silent for %v: reconnecting behind event %d", f.limits.FeedSilence, f.last)
-		f.retry(s, 0)
+		f.retry(s, s.silent())
 	})
 }
 
 // stream is one connection to the feed.
 type stream struct {
-	f     *Follower
-	link  loop.Conn
-	line  []byte
-	spoke bool // a good line has come
+	f      *Follower
+	link   loop.Conn
+	line   []byte
+	spoke  bool // a good line has come
+	behind bool // its numbers were behind ours when last it told them
+	anew   bool // asked for everything: its first event takes the place of all that we have
 }
 
 func (s *stream) Opened(c loop.Conn) {
-	if s.f.stream != s {
+	f := s.f
+	if f.stream != s {
 		c.Close()
 		return
 	}
 	s.link = c
-	s.f.Counters.Connects++
-	s.f.listen(s)
-	sub := strconv.AppendUint([]byte("SUB "), s.f.last, 10)
+	f.Counters.Connects++
+	f.listen(s)
+	from := f.last
+	if f.behind >= behindMost {
+		f.Counters.Resyncs++
+		f.logf("feed at %s counts anew: asking for everything, in place of what is behind event %d", f.address, f.last)
+		s.anew, from = true, 0
+	}
+	sub := strconv.AppendUint([]byte("SUB "), from, 10)
 	if _, err := c.Writev([][]byte{append(sub, '\n')}); err != nil {
-		s.f.retry(s, s.f.limits.FeedRetry)
+		f.retry(s, pacing.Unfit)
 	}
 }
 
-func (s *stream) Failed(error) {
+// Failed is a dial's end. A connect that is refused or reset is a service that is down; one that takes too long
+// is one that is crowded, or behind a cut: both suffer from being asked more.
+func (s *stream) Failed(err error) {
 	s.f.Counters.ConnectsFailed++
-	s.f.retry(s, s.f.limits.FeedRetry)
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+		s.f.retry(s, pacing.Refused)
+		return
+	}
+	s.f.retry(s, pacing.TimedOut)
 }
 
-// Closed connects again. What the feed has to tell counts as told while it is down, so a stream that was
-// good is replaced at once; one that never was waits, lest a broken feed be hammered.
+// Closed calls again. What the feed has to tell counts as told while it is down, so a stream that was good is
+// replaced soon; one that never was, or broke off within a list, waits longer, lest a broken feed be hammered.
 func (s *stream) Closed() {
 	if s.f.stream == s {
 		s.f.Counters.Losses++
 	}
 	if s.spoke {
-		s.f.retry(s, 0)
+		s.f.retry(s, pacing.Broke)
 		return
 	}
-	s.f.retry(s, s.f.limits.FeedRetry)
+	s.f.retry(s, pacing.Unfit)
+}
+
+// silent is what silence on the stream means.
+func (s *stream) silent() pacing.End {
+	switch {
+	case s.behind:
+		return pacing.Unfit
+	case s.spoke:
+		return pacing.Silent
+	}
+	return pacing.TimedOut
 }
 
 // Data takes whole lines. A line that can't be used closes the stream, and the next one starts behind the
@@ -187,13 +263,19 @@
 		}
 		p = p[i+1:]
 		s.f.Counters.Lines++
-		s.f.listen(s)
-		if err := s.f.take(line, true); err != nil {
+		if err := s.f.take(line, s); err != nil {
 			s.f.Counters.BadLines++
-			s.f.logf("feed: %v: reconnecting behind event %d", err, s.f.last)
+			s.f.logf("feed at %s: %v", s.f.address, err)
+			s.f.retry(s, pacing.Unfit)
 			return err
 		}
-		s.line, s.spoke = s.line[:0], true
+		s.line = s.line[:0]
+		if s.behind { // a sign of life, but not of news: it has until the silence is over to catch up
+			continue
+		}
+		s.f.listen(s)
+		s.spoke = true
+		s.f.calls.Good(s.f.now())
 	}
 	return nil
 }
@@ -228,24 +310,28 @@
 	At    int64  `json:"at"`
 }
 
-// take reads one line and hands its event on. Events must come without a gap where they are counted (live);
-// what is known already is passed over.
-func (f *Follower) take(text []byte, live bool) error {
+// take reads one line and hands its event on. Events must come without a gap where they come on a stream (s not
+// nil); what is known already is passed over.
+func (f *Follower) take(text []byte, s *stream) error {
 	if n, err := strconv.ParseUint(string(bytes.TrimSpace(text)), 10, 64); err == nil {
-		return f.alive(n)
+		return f.alive(n, s)
 	}
 	var l line
 	if err := json.Unmarshal(text, &l); err != nil {
 		return fmt.Errorf("line %.80q: %w", text, err)
 	}
+	anew := s != nil && s.anew
 	switch {
 	case l.N == nil:
 		return fmt.Errorf("line %.80q has no number", text)
 	case l.Members == nil && l.Purge == nil:
-		return f.alive(*l.N)
+		return f.alive(*l.N, s)
+	case anew && (*l.N != 1 || l.Members == nil || !l.Members.Snapshot):
+		return fmt.Errorf("event %d, asked for everything: want event 1 with a whole list", *l.N)
+	case anew:
 	case *l.N <= f.last:
 		return nil
-	case live && *l.N != f.last+1:
+	case s != nil && *l.N != f.last+1:
 		return fmt.Errorf("event %d after %d", *l.N, f.last)
 	}
 	if l.Members != nil {
@@ -253,22 +339,70 @@
 		if err != nil {
 			return fmt.Errorf("event %d: %w", *l.N, err)
 		}
-		f.sink.Members(l.Members.Snapshot || f.last == 0, l.Members.Index, list)
+		f.replay = f.replay || anew
+		f.tell(l.Members, list)
 	}
 	if l.Purge != nil {
 		if err := f.purge(l.Purge); err != nil {
 			return fmt.Errorf("event %d: %w", *l.N, err)
 		}
 	}
+	if s != nil {
+		s.anew, s.behind = false, false
+		f.behind = 0
+	}
 	f.last = *l.N
 	f.Counters.Events++
 	return nil
 }
 
-// alive takes a line with only the last number.
-func (f *Follower) alive(n uint64) error {
-	if n > f.last {
+// tell hands a list on. After a new start of the numbers it may be older than what we know: then a member that
+// was draining or gone stays so, as long as it has not been started anew, and the lack of one says nothing.
+func (f *Follower) tell(m *members, list []director.Member) {
+	full := m.Snapshot || f.last == 0
+	if f.replay && m.Index < f.index {
+		full = false
+	}
+	kept := list[:0]
+	for _, e := range list {
+		known, ok := f.list[e.Name]
+		if f.replay && ok && known.state != rules.Ready && e.State == rules.Ready && e.Started <= known.started {
+			f.Counters.KeptDrains++
+			if known.state == rules.Gone {
+				continue
+			}
+			e.State = known.state
+		}
+		kept = append(kept, e)
+	}
+	if full {
+		clear(f.list)
+	}
+	for _, e := range kept {
+		if len(f.list) >= 2*f.limits.Members { // names of the gone: those still listed come again
+			clear(f.list)
+		}
+		f.list[e.Name] = state{e.State, e.Started}
+	}
+	f.index = max(f.index, m.Index)
+	f.sink.Members(full, m.Index, kept)
+}
+
+// alive takes a line with only the last number. One that is behind ours comes from a service that lags, or was
+// put back: what it tells next is not what comes next for us.
+func (f *Follower) alive(n uint64, s *stream) error {
+	switch {
+	case s == nil || s.anew:
+		return nil
+	case n > f.last:
 		return fmt.Errorf("feed is at %d, but %d came last", n, f.last)
+	case n == f.last:
+		s.behind, f.behind, f.replay = false, 0, false
+	case !s.behind:
+		s.behind = true
+		f.behind++
+		f.Counters.Behind++
+		f.logf("feed at %s is at event %d, behind ours, %d", f.address, n, f.last)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/pacing/list.go
@@ -0,0 +1,191 @@
+// Package pacing decides when and how often, where the decision module (rules) decides what: when a director
+// calls the list service, and how much of its further attempts and new connections it may still spend. It does
+// no I/O and reads no clock: time and random numbers are handed in. Directors don't talk to each other, so that
+// what hundreds of them do together must follow from what each one knows alone: its number, the size of the
+// fleet, its seed and what came of its own calls.
+package pacing
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Time is the caller's clock, as rules.Time.
+type Time = time.Duration
+
+// End says how a call of the list service, or the stream that came of it, has ended.
+type End uint8
+
+// Ends of a call. What it cost the service, and whether the news can have been missed, differ from one to the
+// other, and so does the time until the next call.
+const (
+	// Refused: no connection. That cost the service next to nothing, and it is most likely down: come back soon,
+	// as it may be up again at any moment.
+	Refused End = iota
+	// TimedOut: no connection in time, or one on which no whole line came in time. The service is there and has
+	// more to do than it can: each call more adds to that.
+	TimedOut
+	// Unfit: a line that can't be used, a list that broke off half-way, or numbers that stay behind ours. The
+	// call was served, in vain, and the next one will hardly be better at once.
+	Unfit
+	// Broke: a stream that had brought good lines has closed. The news flow on without us from now on.
+	Broke
+	// Silent: such a stream has said nothing for ListBounds.Silence, which is gone from the time for the news.
+	Silent
+)
+
+// String names the end, for logs.
+func (e End) String() string {
+	return [...]string{"refused", "timed out", "unfit", "broke", "silent"}[e]
+}
+
+// ListBounds is what the pace of list calls is derived from.
+type ListBounds struct {
+	// Directors is the size of the fleet, Me our number in it, from 0 (settings: balancers, me).
+	Directors, Me int
+	// Heed is the time within which a drain must be heeded, from when the service has it (settings:
+	// guarantees.drainGrace; 2 s).
+	Heed time.Duration
+	// Late is when what the service has to tell counts as told though nothing arrived (protocol page: 7 s).
+	Late time.Duration
+	// Silence is how long a stream may say nothing before it is given up.
+	Silence time.Duration
+	// Call is what a call takes at most with the service well: connect, subscribe, read what was missed.
+	Call time.Duration
+	// Least is the shortest wait after a call that failed, whatever the fleet's size.
+	Least time.Duration
+}
+
+// Figures of the pace that are not derived.
+const (
+	crowd   = 8               // directors from which the full spread is used: fewer can't hurt the service
+	settled = 3 * time.Second // a stream that was good for less has served nobody: a flapping service
+	saved   = 4               // calls that may be made at once after a quiet time: a break, and its repair
+	growth  = 2.0             // times that a window grows with each failure
+	golden  = 0.6180339887498949
+)
+
+// ListCalls paces one director's calls of the list service. The caller makes a call at the time that Start, Next
+// or Move gives, and reports what came of it: Good for each good line, Next at the end.
+//
+// Three bounds meet here (docs/cold-start.md has the sums):
+//   - With the service well, every director is back within Heed less the call's own time: spread.
+//   - A service that is down costs nothing by refusing, and what it will tell when it is up must be heard within
+//     Heed of that: no wait after Refused is longer than soon.
+//   - A service that is overloaded can't serve all within Heed whatever we do. What it would tell counts as told
+//     after Late: no wait is longer than that, less the call.
+type ListCalls struct {
+	rng    *rand.Rand
+	b      ListBounds
+	spread time.Duration // over which the fleet spreads calls that fall due together
+	soon   time.Duration // longest wait while the service is down
+	long   time.Duration // longest wait at all
+
+	tokens   float64 // calls saved up
+	filled   Time    // when tokens was right
+	failures int     // in a row
+	breaks   int     // of good streams: turns our place in the spread
+	goodFrom Time    // first good line of the present stream
+	good     bool
+}
+
+// NewListCalls returns the pace for the bounds. The seed should differ from director to director.
+func NewListCalls(b ListBounds, seed uint64) *ListCalls {
+	b.Directors = max(b.Directors, 1)
+	c := &ListCalls{rng: rand.New(rand.NewPCG(seed, 2)), b: b, tokens: saved}
+	c.soon = max(b.Heed-b.Call, b.Least)
+	c.long = max(b.Late-b.Call, c.soon)
+	part := min(1, float64(b.Directors-1)/(crowd-1))
+	c.spread = time.Duration(part * float64(c.soon))
+	return c
+}
+
+// Spread is the span over which the fleet spreads calls that fall due together.
+func (c *ListCalls) Spread() time.Duration { return c.spread }
+
+// Start is when to make the first call.
+func (c *ListCalls) Start(now Time) Time {
+	c.filled = now
+	return c.spend(now, c.place())
+}
+
+// Move is when to go over to another service, on order of the operators: all directors hear it at once. The
+// present stream is good until then.
+func (c *ListCalls) Move(now Time) Time {
+	c.breaks++
+	c.failures, c.good = 0, false
+	return c.spend(now, c.place())
+}
+
+// Good notes a good line of the present stream.
+func (c *ListCalls) Good(now Time) {
+	if !c.good {
+		c.good, c.goodFrom = true, now
+	}
+	if now-c.goodFrom >= settled {
+		c.failures = 0
+	}
+}
+
+// Failures is the number of ends in a row that no settled stream has come between.
+func (c *ListCalls) Failures() int { return c.failures }
+
+// Next is when to call again after the present call, or its stream, has ended.
+func (c *ListCalls) Next(now Time, e End) Time {
+	served := c.good && now-c.goodFrom >= settled
+	c.good = false
+	if served {
+		c.failures = 0
+	} else {
+		c.failures++
+	}
+	switch {
+	case served && e == Silent: // what was lost in silence is gone from the time for the news
+		c.breaks++
+		return c.spend(now, min(c.place(), max(0, c.soon-c.b.Silence)))
+	case served:
+		c.breaks++
+		return c.spend(now, c.place())
+	case e == Refused:
+		return c.spend(now, c.jitter(c.window(c.soon/4, c.soon), 0))
+	}
+	// Half of the window at least: who comes back at once adds to the crowd that it was lost in.
+	return c.spend(now, c.jitter(c.window(c.soon, c.long), 0.5))
+}
+
+// place is our place in the spread: each director has a slot of its own, so that calls that fall due at one
+// moment everywhere make an even stream, and a random time within it, so that two with one number don't
+// collide for good. It turns with each break, lest one director always comes last.
+func (c *ListCalls) place() time.Duration {
+	n := float64(c.b.Directors)
+	_, at := math.Modf((float64(c.b.Me)+c.rng.Float64())/n + golden*float64(c.breaks))
+	return time.Duration(at * float64(c.spread))
+}
+
+// window grows with each failure, from first up to most.
+func (c *ListCalls) window(first, most time.Duration) time.Duration {
+	w := float64(first) * math.Pow(growth, float64(min(c.failures-1, 16)))
+	return time.Duration(min(w, float64(most)))
+}
+
+// jitter is a random time in the window, from a part of it on, and not under Least.
+func (c *ListCalls) jitter(window time.Duration, from float64) time.Duration {
+	part := from + (1-from)*c.rng.Float64()
+	return max(time.Duration(part*float64(window)), c.b.Least)
+}
+
+// spend takes a call off the budget, which gains one for each soon. Where nothing is left the call waits for
+// the next one, which is no longer than soon: a service that serves and breaks by turns costs its directors one
+// call in that time, and no more.
+func (c *ListCalls) spend(now Time, wait time.Duration) Time {
+	at := now + wait
+	c.tokens = min(saved, c.tokens+float64(at-c.filled)/float64(c.soon))
+	c.filled = at
+	if c.tokens < 1 {
+		at += time.Duration((1 - c.tokens) * float64(c.soon))
+		c.tokens, c.filled = 1, at
+	}
+	c.tokens--
+	return at
+}
--- /dev/null
+++ b/internal/pacing/list_test.go
@@ -0,0 +1,174 @@
+package pacing
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// bounds are those of the platform.
+func bounds(n, me int) ListBounds {
+	return ListBounds{Directors: n, Me: me, Heed: 2 * time.Second, Late: 7 * time.Second,
+		Silence: 1300 * time.Millisecond, Call: 500 * time.Millisecond, Least: 100 * time.Millisecond}
+}
+
+// peak is the busiest 100 ms of calls over their mean in the span.
+func peak(calls []Time, from, span Time) float64 {
+	const step = 100 * time.Millisecond
+	bins := make([]int, int(span/step)+1)
+	most := 0
+	for _, at := range calls {
+		i := int((at - from) / step)
+		bins[i]++
+		most = max(most, bins[i])
+	}
+	return float64(most) / (float64(len(calls)) / (float64(span) / float64(step)))
+}
+
+// Directors that start at one moment, and that lose a good stream at one moment, must not call at one moment.
+// Every one is back within the time that the rule on drains leaves.
+func TestFleetSpreadsItsCalls(t *testing.T) {
+	for _, n := range []int{24, 60, 300} {
+		for seed := range uint64(5) {
+			var starts, backs []Time
+			const begin, loss = 100 * time.Second, 200 * time.Second
+			for me := range n {
+				c := NewListCalls(bounds(n, me), seed<<32|uint64(me))
+				at := c.Start(begin)
+				starts = append(starts, at)
+				c.Good(at)
+				c.Good(loss - time.Millisecond)
+				back := c.Next(loss, Broke)
+				backs = append(backs, back)
+				if back-loss > 1500*time.Millisecond {
+					t.Errorf("%d directors: number %d is back after %v", n, me, back-loss)
+				}
+			}
+			spread := NewListCalls(bounds(n, 0), 0).Spread()
+			if p := peak(starts, begin, spread); p > 2 {
+				t.Errorf("%d directors, seed %d: the busiest 100 ms of the start has %.2f times the mean", n, seed, p)
+			}
+			if p := peak(backs, loss, spread); p > 2 {
+				t.Errorf("%d directors, seed %d: the busiest 100 ms of the return has %.2f times the mean", n, seed, p)
+			}
+		}
+	}
+}
+
+// One director alone has nobody to spread from.
+func TestLoneDirectorCallsAtOnce(t *testing.T) {
+	c := NewListCalls(bounds(1, 0), 1)
+	if at := c.Start(time.Second); at != time.Second {
+		t.Errorf("first call at %v", at)
+	}
+	c.Good(time.Second)
+	if at := c.Next(10*time.Second, Broke); at != 10*time.Second {
+		t.Errorf("back at %v", at)
+	}
+}
+
+// Silence has used up most of the time for the news.
+func TestSilenceLeavesLessTime(t *testing.T) {
+	for me := range 300 {
+		c := NewListCalls(bounds(300, me), uint64(me))
+		at := c.Start(0)
+		c.Good(at)
+		if wait := c.Next(at+10*time.Second, Silent) - (at + 10*time.Second); wait > 200*time.Millisecond {
+			t.Fatalf("number %d waits %v behind a silence", me, wait)
+		}
+	}
+}
+
+// A service that is down is asked again soon; one that is overloaded ever more seldom.
+func TestWaitsGrowByWhatFailed(t *testing.T) {
+	mean := func(e End, failures int) (sum time.Duration) {
+		for seed := range uint64(200) {
+			c := NewListCalls(bounds(300, 7), seed)
+			now := c.Start(0)
+			var wait time.Duration
+			for range failures {
+				next := c.Next(now, e)
+				wait, now = next-now, next
+			}
+			sum += wait / 200
+		}
+		return sum
+	}
+	if first, late := mean(Refused, 1), mean(Refused, 8); first > 300*time.Millisecond || late > 1600*time.Millisecond {
+		t.Errorf("refused: %v at first, %v later", first, late)
+	}
+	first, second, late := mean(TimedOut, 1), mean(TimedOut, 2), mean(TimedOut, 8)
+	if first < 700*time.Millisecond || second < first*3/2 || late < 4*time.Second {
+		t.Errorf("timed out: %v, %v, later %v", first, second, late)
+	}
+	if u := mean(Unfit, 8); u < 4*time.Second {
+		t.Errorf("unfit: later %v", u)
+	}
+}
+
+// Whatever the service does, no wait is longer than the news may be late, and calls keep to the budget: in any
+// span there are no more than what was saved and one for each 1.5 s of it.
+func TestPaceKeepsItsBoundsWhateverHappens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 400).Draw(t, "directors")
+		c := NewListCalls(bounds(n, rapid.IntRange(0, n-1).Draw(t, "me")), rapid.Uint64().Draw(t, "seed"))
+		now := rapid.Custom(func(t *rapid.T) Time { return Time(rapid.Int64Range(0, 1e12).Draw(t, "ns")) }).Draw(t, "begin")
+		due := c.Start(now)
+		calls := []Time{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if due < now {
+				t.Fatalf("a call at %v, which has passed at %v", due, now)
+			}
+			now = due
+			calls = append(calls, now)
+			served := time.Duration(0)
+			if rapid.Bool().Draw(t, "served") {
+				c.Good(now)
+				served = time.Duration(rapid.Int64Range(0, int64(8*time.Second)).Draw(t, "for"))
+				now += served
+				c.Good(now)
+			}
+			e := End(rapid.IntRange(0, int(Silent)).Draw(t, "end"))
+			if rapid.IntRange(0, 9).Draw(t, "moved") == 0 {
+				due = c.Move(now)
+			} else {
+				due = c.Next(now, e)
+			}
+			if wait := due - now; wait > 6500*time.Millisecond || (e == Refused && wait > 3*time.Second) {
+				t.Fatalf("waits %v after %v, served for %v", wait, e, served)
+			}
+			if served >= settled && due-now > 1500*time.Millisecond {
+				t.Fatalf("waits %v behind a stream that was good for %v", due-now, served)
+			}
+			if tokens := c.tokens; tokens < 0 || tokens > saved {
+				t.Fatalf("%v calls saved", tokens)
+			}
+		}
+		for i := range calls {
+			for j := i; j < len(calls); j++ {
+				if most := saved + 1e-6 + float64(calls[j]-calls[i])/float64(1500*time.Millisecond); float64(j-i+1) > most+1 {
+					t.Fatalf("%d calls in %v", j-i+1, calls[j]-calls[i])
+				}
+			}
+		}
+	})
+}
+
+// A good stream that settles clears what failed before; a flapping one does not.
+func TestOnlyASettledStreamForgives(t *testing.T) {
+	c := NewListCalls(bounds(300, 0), 1)
+	now := c.Start(0)
+	for range 3 {
+		c.Good(now)
+		now = c.Next(now+100*time.Millisecond, Broke)
+	}
+	if c.Failures() != 3 {
+		t.Errorf("%d failures after three streams of 0.1 s, want 3", c.Failures())
+	}
+	c.Good(now)
+	c.Good(now + settled)
+	if c.Failures() != 0 {
+		t.Errorf("%d failures after a settled stream", c.Failures())
+	}
+}
