--- a/rules/rules.go
+++ b/rules/rules.go
@@ -62,7 +62,7 @@
 		cur: map[objectPart]*entry{}, prev: map[objectPart]*entry{},
 		purges: map[purgeKey]purge{}}
 	for _, c := range s.Services {
-		d.classes = append(d.classes, classStats{c.Aim.Seconds(), c.Aim.Seconds()}) // at first, patient
+		d.classes = append(d.classes, classStats{c.Aim.Seconds(), c.Aim.Seconds(), 1}) // at first, patient
 	}
 	return d, nil
 }
@@ -667,11 +667,13 @@
 		d.waited += (o.Waited.Seconds() - d.waited) * learn
 	}
 	c := &d.classes[a.class]
-	c.latency += (o.After.Seconds() - c.latency) * learn
+	c.seen++
+	weight := max(learn, 1/c.seen)
+	c.latency += (o.After.Seconds() - c.latency) * weight
 	if r != nil && r.told > 0 {
-		c.work += (r.told - c.work) * learn
+		c.work += (r.told - c.work) * weight
 	} else if o.Note == NoteHit || o.Note == NoNote {
-		c.work += (o.After.Seconds() - c.work) * learn
+		c.work += (o.After.Seconds() - c.work) * weight
 	}
 	t.carried = t.carried*math.Exp(-float64(d.now-t.carriedAt)/float64(carryOver)) + a.work
 	t.carriedAt = d.now
--- a/rules/state.go
+++ b/rules/state.go
@@ -114,8 +114,8 @@
 
 type purge struct{ made, told Time }
 
-// classStats are running means of a class, seconds: sending time, and time to an answer.
-type classStats struct{ work, latency float64 }
+// classStats are running means of a class, seconds: sending time, and time to an answer; and the samples in them.
+type classStats struct{ work, latency, seen float64 }
 
 // Router decides for one instance. It is not safe for concurrent use.
 type Router struct {
