--- /dev/null
+++ b/internal/lab/experiment.go
@@ -0,0 +1,261 @@
+package lab
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"shaleyard/internal/labcheck"
+)
+
+// Experiment is a script: a fleet, what it stands between, what is broken when, and what must hold.
+type Experiment struct {
+	Name      string  `toml:"name"`
+	About     string  `toml:"about"`
+	Directors int     `toml:"directors"`
+	Seconds   float64 `toml:"seconds"` // of load; the run ends when all is answered, some seconds later
+	Seed      uint64  `toml:"seed"`
+
+	List    ListSpec   `toml:"list"`
+	Caches  ServerSpec `toml:"caches"`
+	Parents ServerSpec `toml:"parents"`
+	Origin  OriginSpec `toml:"origin"`
+	Clients ClientSpec `toml:"clients"`
+	Steps   []Step     `toml:"step"`
+	Bounds  []Bound    `toml:"bound"`
+}
+
+// ListSpec is the list service: one server of fixed capacity for all directors.
+type ListSpec struct {
+	CallsPerSecond float64 `toml:"calls_per_second"` // 0: as many as there are directors in 1.5 s
+	Queue          int     `toml:"queue"`            // calls that wait; more are turned away. 0: a second's worth
+	Begin          string  `toml:"begin"`            // how it is as the directors start: well (or ""), down, hang, half
+}
+
+// ServerSpec is a group of caches or parents.
+type ServerSpec struct {
+	Count     int     `toml:"count"`
+	Weight    float64 `toml:"weight"`     // transfers at full pace that the link carries
+	Conns     int     `toml:"conns"`      // connections accepted; 0: any number
+	FillSlots int     `toml:"fill_slots"` // fills at once; 0: any number
+	ColdFrom  float64 `toml:"cold_from"`
+	RampMS    float64 `toml:"ramp_ms"`
+	FallMS    float64 `toml:"fall_ms"`
+	Multiple  float64 `toml:"multiple"`
+	LatencyMS float64 `toml:"latency_ms"`
+	Cold      bool    `toml:"cold"`  // starts with the run, empty; else it has been up for long
+	Joins     bool    `toml:"joins"` // requests may join a fill under way
+}
+
+// OriginSpec is the origin: everything is there.
+type OriginSpec struct {
+	PerSecond float64 `toml:"per_second"` // fetches it can do; more are turned away
+	LatencyMS float64 `toml:"latency_ms"`
+}
+
+// ClientSpec is the load of all clients together.
+type ClientSpec struct {
+	PerSecond  float64 `toml:"per_second"`
+	Objects    int     `toml:"objects"`
+	Zipf       float64 `toml:"zipf"`
+	Repayments float64 `toml:"repayments"` // share of requests
+	Tries      int     `toml:"tries"`      // of one request by its client, with the first
+	Skew       float64 `toml:"skew"`       // times the mean load that director 0 gets; 0: the mean
+	TransferMS float64 `toml:"transfer_ms"`
+}
+
+// Step is something that is done at a time, and undone after For seconds where it can be.
+type Step struct {
+	At      float64 `toml:"at"`
+	Do      string  `toml:"do"`
+	Share   float64 `toml:"share"`  // of the directors or servers that it is done to, drawn by the seed; 0: all
+	For     float64 `toml:"for"`    // seconds; 0: for good
+	Factor  float64 `toml:"factor"` // of capacity, or of load
+	Back    int     `toml:"back"`   // events that the list service forgets
+	Over    float64 `toml:"over"`   // seconds over which the servers are replaced in turn
+	DelayMS float64 `toml:"delay_ms"`
+	Link    string  `toml:"link"` // list, caches, parents or clients: between those and the drawn directors
+}
+
+// Bound is what a figure must keep to.
+type Bound struct {
+	Figure string   `toml:"figure"`
+	Most   *float64 `toml:"most"`
+	Least  *float64 `toml:"least"`
+	// BaselineTimes bounds a figure by so many times the baseline's, where one was played: as most, or with a
+	// minus sign as least.
+	BaselineTimes float64 `toml:"baseline_times"`
+}
+
+// doings are the steps that there are, and what they are done to.
+var doings = map[string]string{
+	"kill": "directors", "start": "directors", "stop": "directors", "cont": "directors", "term": "directors",
+	"list-well": "list", "list-down": "list", "list-hang": "list", "list-half": "list", "list-slow": "list",
+	"list-older": "list", "list-break": "list",
+	"replace": "caches", "replace-parents": "parents", "drain": "caches", "kill-caches": "caches",
+	"silence-caches": "caches", "purge": "", "burst": "",
+	"cut": "link", "silence": "link", "one-way": "link", "delay": "link", "reset": "link", "drip": "link",
+}
+
+// Load reads an experiment. An error names the file, the line and the key.
+func Load(path string) (*Experiment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, text)
+}
+
+// Parse checks the text of an experiment; the name of its file is for errors.
+func Parse(file string, text []byte) (*Experiment, error) {
+	x := &Experiment{Name: strings.TrimSuffix(filepath.Base(file), ".toml"), Directors: 24, Seconds: 10, Seed: 1,
+		Caches: ServerSpec{Count: 6, Weight: 40, ColdFrom: 0.25, RampMS: 4000, FallMS: 1000, Multiple: 2, LatencyMS: 2,
+			Joins: true},
+		Parents: ServerSpec{Count: 2, Weight: 60, ColdFrom: 0.25, RampMS: 4000, FallMS: 1000, Multiple: 2, LatencyMS: 5,
+			Joins: true},
+		Origin:  OriginSpec{PerSecond: 400, LatencyMS: 30},
+		Clients: ClientSpec{PerSecond: 200, Objects: 400, Zipf: 1.1, Repayments: 0.1, Tries: 3, TransferMS: 20}}
+	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := d.Decode(x); err != nil {
+		var strict *toml.StrictMissingError
+		var one *toml.DecodeError
+		switch {
+		case errors.As(err, &strict):
+			one = &strict.Errors[0]
+			row, _ := one.Position()
+			return nil, fmt.Errorf("%s:%d: %s: no such key", file, row, strings.Join(one.Key(), "."))
+		case errors.As(err, &one):
+			row, _ := one.Position()
+			return nil, fmt.Errorf("%s:%d: %s: %s", file, row, strings.Join(one.Key(), "."), one.Error())
+		}
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	if key, why := x.check(); key != "" {
+		return nil, fmt.Errorf("%s:%d: %s: %s", file, lineOf(text, key), key, why)
+	}
+	return x, nil
+}
+
+// check names the first key whose value is out of range.
+func (x *Experiment) check() (key, why string) {
+	type limit struct {
+		key              string
+		value, low, high float64
+	}
+	limits := []limit{{"directors", float64(x.Directors), 1, 400}, {"seconds", x.Seconds, 1, 600},
+		{"list.calls_per_second", x.List.CallsPerSecond, 0, 1e5}, {"list.queue", float64(x.List.Queue), 0, 1e5},
+		{"origin.per_second", x.Origin.PerSecond, 1, 1e6}, {"origin.latency_ms", x.Origin.LatencyMS, 0, 1e4},
+		{"clients.per_second", x.Clients.PerSecond, 0, 1e5}, {"clients.objects", float64(x.Clients.Objects), 1, 1e6},
+		{"clients.zipf", x.Clients.Zipf, 1.01, 4}, {"clients.repayments", x.Clients.Repayments, 0, 1},
+		{"clients.tries", float64(x.Clients.Tries), 1, 10}, {"clients.skew", x.Clients.Skew, 0, 50},
+		{"clients.transfer_ms", x.Clients.TransferMS, 1, 1e4}}
+	for _, g := range []struct {
+		name string
+		s    ServerSpec
+	}{{"caches", x.Caches}, {"parents", x.Parents}} {
+		limits = append(limits, limit{g.name + ".count", float64(g.s.Count), 1, 200},
+			limit{g.name + ".weight", g.s.Weight, 0.1, 1e5}, limit{g.name + ".conns", float64(g.s.Conns), 0, 1e5},
+			limit{g.name + ".fill_slots", float64(g.s.FillSlots), 0, 1e5}, limit{g.name + ".cold_from", g.s.ColdFrom, 0.01, 1},
+			limit{g.name + ".ramp_ms", g.s.RampMS, 0, 1e5}, limit{g.name + ".fall_ms", g.s.FallMS, 100, 1e5},
+			limit{g.name + ".multiple", g.s.Multiple, 0.5, 100}, limit{g.name + ".latency_ms", g.s.LatencyMS, 0, 1e4})
+	}
+	for i, s := range x.Steps {
+		at := func(k string) string { return fmt.Sprintf("step[%d].%s", i, k) }
+		on, known := doings[s.Do]
+		if !known {
+			return at("do"), fmt.Sprintf("%q is nothing that can be done", s.Do)
+		}
+		if on == "link" && !slices.Contains([]string{"list", "caches", "parents", "clients"}, s.Link) {
+			return at("link"), fmt.Sprintf("%q is no link", s.Link)
+		}
+		limits = append(limits, limit{at("at"), s.At, 0, x.Seconds}, limit{at("share"), s.Share, 0, 1},
+			limit{at("for"), s.For, 0, 600}, limit{at("factor"), s.Factor, 0, 100}, limit{at("back"), float64(s.Back), 0, 1e4},
+			limit{at("over"), s.Over, 0, 600}, limit{at("delay_ms"), s.DelayMS, 0, 1e4})
+	}
+	for _, l := range limits {
+		if !(l.value >= l.low && l.value <= l.high) {
+			return l.key, fmt.Sprintf("%v is not within %v and %v", l.value, l.low, l.high)
+		}
+	}
+	if b := x.List.Begin; !slices.Contains([]string{"", "well", "down", "hang", "half"}, b) {
+		return "list.begin", fmt.Sprintf("%q is no state of the service", b)
+	}
+	for i, b := range x.Bounds {
+		if !slices.Contains(labcheck.FigureNames, b.Figure) {
+			return fmt.Sprintf("bound[%d].figure", i), fmt.Sprintf("%q is no figure", b.Figure)
+		}
+	}
+	return "", ""
+}
+
+// lineOf finds the line of a key such as clients.zipf or step[2].do; 0: it stands in none.
+func lineOf(text []byte, key string) int {
+	table, name, dotted := strings.Cut(key, ".")
+	if !dotted {
+		table, name = "", key
+	}
+	table, index, _ := strings.Cut(strings.TrimSuffix(table, "]"), "[")
+	want, in, seen := 0, "", -1
+	fmt.Sscan(index, &want)
+	for i, l := range strings.Split(string(text), "\n") {
+		l = strings.TrimSpace(l)
+		if strings.HasPrefix(l, "[") {
+			in = strings.Trim(l, "[] ")
+			if in == table {
+				seen++
+			}
+			continue
+		}
+		k, _, ok := strings.Cut(l, "=")
+		if ok && in == table && (index == "" || seen == want) && strings.TrimSpace(k) == name {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+// Scale plays the experiment with another number of directors: the load, and what the servers bear, go with it.
+func (x *Experiment) Scale(directors int) {
+	by := float64(directors) / float64(x.Directors)
+	x.Directors = directors
+	x.List.CallsPerSecond *= by
+	x.Clients.PerSecond *= by
+	x.Origin.PerSecond *= by
+	for _, s := range []*ServerSpec{&x.Caches, &x.Parents} {
+		s.Weight *= by
+		s.Conns = int(float64(s.Conns) * by)
+		s.FillSlots = int(float64(s.FillSlots) * by)
+	}
+}
+
+// Judge holds figures against the experiment's bounds; those that need a baseline count only where there is one.
+func (x *Experiment) Judge(figures, baseline map[string]float64) (broken []labcheck.Broken) {
+	for _, b := range x.Bounds {
+		got := figures[b.Figure]
+		say := func(format string, a ...any) {
+			broken = append(broken, labcheck.Broken{Rule: "bound", Who: b.Figure, Detail: fmt.Sprintf(format, a...)})
+		}
+		if b.Most != nil && got > *b.Most {
+			say("%.3f, %.3f at most", got, *b.Most)
+		}
+		if b.Least != nil && got < *b.Least {
+			say("%.3f, %.3f at least", got, *b.Least)
+		}
+		if baseline == nil || b.BaselineTimes == 0 {
+			continue
+		}
+		switch limit := b.BaselineTimes * baseline[b.Figure]; {
+		case limit >= 0 && got > limit:
+			say("%.3f, %.3f at most by the baseline", got, limit)
+		case limit < 0 && got < -limit:
+			say("%.3f, %.3f at least by the baseline", got, -limit)
+		}
+	}
+	return broken
+}
--- /dev/null
+++ b/internal/lab/lab.go
@@ -0,0 +1,521 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const originName = "s-origin"
+
+// Lab is one run of an experiment.
+type Lab struct {
+	x      *Experiment
+	binary string
+	dir    string
+	record *recorder
+	rng    *rand.Rand
+	net    byte // second byte of all addresses, so that two runs at once keep apart
+
+	starter   *starter
+	faults    *faults
+	list      *listService
+	directors []*process
+	refs      sync.Map // director by ref
+
+	mu      sync.Mutex
+	servers map[string]*server
+	caches  []*server // as listed, in order
+	parents []*server
+	next    int // of the names of new servers
+	err     error
+	crowd   *crowd
+}
+
+// Options say how an experiment is run.
+type Options struct {
+	Binary   string           // the program under test
+	Dir      string           // for the record and the logs; it must be there
+	Progress func(at float64) // called about each second; nil: none
+}
+
+// Run plays an experiment and leaves its record in Dir/record.jsonl. All processes are gone when it returns,
+// also when ctx ends it early or it panics.
+func Run(ctx context.Context, x *Experiment, o Options) (err error) {
+	l := &Lab{x: x, binary: o.Binary, dir: o.Dir, rng: rand.New(rand.NewPCG(x.Seed, 1)), net: byte(16 + os.Getpid()%200),
+		faults: newFaults(), servers: map[string]*server{}, starter: newStarter()}
+	if l.record, err = newRecorder(filepath.Join(o.Dir, "record.jsonl")); err != nil {
+		return err
+	}
+	defer func() {
+		l.end()
+		if l.err != nil && err == nil {
+			err = l.err
+		}
+		if e := l.record.close(); e != nil && err == nil {
+			err = e
+		}
+	}()
+	if err := l.build(); err != nil {
+		return err
+	}
+	return l.play(ctx, o.Progress)
+}
+
+// ip is an address on loopback: each group, and each member of it, has its own.
+func (l *Lab) ip(group, n int) net.IP { return net.IPv4(127, l.net, byte(group<<4|n>>8), byte(n)) }
+
+func (l *Lab) fail(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.err == nil {
+		l.err = err
+	}
+}
+
+func (l *Lab) server(name string) *server {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.servers[name]
+}
+
+func (l *Lab) directorOf(ref string) (int, bool) {
+	v, ok := l.refs.Load(ref)
+	if !ok {
+		return 0, false
+	}
+	return v.(int), true
+}
+
+// last is the number of the last event.
+func (s *listService) last() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.lines)
+}
+
+func (l *Lab) add(t tier, spec ServerSpec, addr *net.TCPAddr, cold bool) (*server, error) {
+	l.mu.Lock()
+	l.next++
+	n := l.next
+	name := fmt.Sprintf("s-%04d", n)
+	if t == originTier {
+		name = originName
+	}
+	l.mu.Unlock()
+	if addr == nil {
+		addr = &net.TCPAddr{IP: l.ip(int(t), n)}
+	}
+	s, err := l.newServer(name, t, spec, addr, cold)
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	l.servers[name] = s
+	l.mu.Unlock()
+	return s, nil
+}
+
+// build starts the stand-ins; the directors are started by play.
+func (l *Lab) build() error {
+	x := l.x
+	l.list = newListService(l)
+	for range x.Caches.Count {
+		s, err := l.add(cacheTier, x.Caches, nil, x.Caches.Cold)
+		if err != nil {
+			return err
+		}
+		l.caches = append(l.caches, s)
+	}
+	for range x.Parents.Count {
+		s, err := l.add(parentTier, x.Parents, nil, x.Parents.Cold)
+		if err != nil {
+			return err
+		}
+		l.parents = append(l.parents, s)
+	}
+	origin, err := l.add(originTier, ServerSpec{Weight: 1000}, nil, false)
+	if err != nil {
+		return err
+	}
+	all := append(slices.Concat(l.caches, l.parents), origin)
+	for _, s := range all {
+		l.record.add(Event{Kind: "member", Who: s.name, What: "ready", N: 1})
+	}
+	l.list.publish(func(n int) string { return newsOf(n, true, all...) }, Event{What: "list"})
+	if !x.Caches.Cold && !x.Parents.Cold {
+		l.warm(l.caches)
+		l.warm(l.parents)
+	}
+	for i := range x.Directors {
+		p := &process{lab: l, id: i}
+		if p.list, err = l.list.address(i); err != nil {
+			return err
+		}
+		l.directors = append(l.directors, p)
+	}
+	return nil
+}
+
+// warm has servers hold what they would have been asked for lately: the more wanted half of the objects.
+func (l *Lab) warm(group []*server) {
+	for _, s := range group {
+		for i := range l.x.Clients.Objects/2 + 1 {
+			s.held[fmt.Sprintf("%016x/0", i+1)] = copyOf{since: time.Now()}
+		}
+	}
+}
+
+func newsOf(n int, snapshot bool, list ...*server) string {
+	text := ""
+	for i, s := range list {
+		if i > 0 {
+			text += ","
+		}
+		since := int64(0)
+		if s.cold {
+			since = s.since.UnixMilli()
+		}
+		text += fmt.Sprintf(`{"name":%q,"address":%q,"zone":%q,"type":%q,"group":0,"status":%q,"weight":%v,"since_ms":%d}`,
+			s.name, s.addr.String(), zoneNames[s.tier], kindNames[s.tier], s.state, s.spec.Weight, since)
+	}
+	return fmt.Sprintf(`{"n":%d,"members":{"index":%d,"snapshot":%v,"endpoints":[%s]}}`, n, n, snapshot, text)
+}
+
+// settings is what a director is told of the site.
+func (l *Lab) settings(me int) map[string]any {
+	const ms = 1e6
+	x := l.x
+	return map[string]any{"balancers": x.Directors, "me": me, "zone": 1, "dcs": []string{"hub", "branch"},
+		"kinds": kindNames, "quantum": 2 * ms, "registryMode": "automatic", "weights": "rough",
+		"report": map[string]any{"fields": []string{"active"}, "via": "inline"},
+		"services": []any{
+			map[string]any{"name": "media", "aim": 500 * ms, "deadline": 2000 * ms, "worth": 2, "effect": "read_like", "group": "all"},
+			map[string]any{"name": "repayment", "aim": 700 * ms, "deadline": 2000 * ms, "worth": 3, "effect": "non_idempotent", "group": "all"}},
+		"ceilings": map[string]any{"cancel": true, "connectTimeout": 400 * ms, "keepalive": 15000 * ms, "maxAttempts": 6,
+			"maxRetryAfter": 500 * ms, "openCap": 20000, "retryAfter": true, "secondCopies": true, "streamsPerConn": 100},
+		"guarantees": map[string]any{"askWithin": 10000 * ms, "cold": x.Caches.RampMS * ms, "coldFrom": x.Caches.ColdFrom,
+			"drainGrace": 2000 * ms, "fall": x.Caches.FallMS * ms, "graceToAnswer": 8 * ms, "tipMultiple": x.Caches.Multiple},
+		"familyInfo": map[string]any{"bypassAllowed": false, "classFresh": []int{0, 0}, "staleFor": []int{0, 0},
+			"passOn": []bool{false, true}, "flowKbPerS": 100 / (x.Clients.TransferMS / 1000), "mergesFills": x.Caches.Joins,
+			"masterKind": 2, "secondTierKind": 1, "parentColdFrom": x.Parents.ColdFrom,
+			"parentFallMultiple": x.Parents.Multiple, "parentRamp": x.Parents.RampMS * ms, "purgeSlack": 500 * ms,
+			"purgeTakes": 6000 * ms, "lateral": "location", "notesGiven": "all", "seatsByZone": []int{0, x.Directors},
+			"hubByZone": []int{0, 0}}}
+}
+
+// all starts every director at once.
+func (l *Lab) startAll(ids []int, last bool) error {
+	var wg sync.WaitGroup
+	errs := make([]error, len(ids))
+	for i, id := range ids {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			errs[i] = l.directors[id].start(last)
+		}()
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
+// play runs the load and the script.
+func (l *Lab) play(ctx context.Context, progress func(float64)) error {
+	everyone := make([]int, l.x.Directors)
+	for i := range everyone {
+		everyone[i] = i
+	}
+	if b := l.x.List.Begin; b != "" && b != "well" {
+		l.list.set(b, 1, 0)
+	}
+	l.record.add(Event{Kind: "meta", What: l.x.Name, N: l.x.Directors, Value: 2000, Allow: 500})
+	if err := l.startAll(everyone, false); err != nil {
+		return err
+	}
+	for _, p := range l.directors {
+		select {
+		case <-p.up:
+		case <-p.gone:
+			return fmt.Errorf("%s ended at its start; its log is in %s", directorName(p.id), l.dir)
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+	// The front takes some in before clients come.
+	for ready := 0; ready < (l.x.Directors+1)/2; {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(5 * time.Millisecond):
+		}
+		ready = 0
+		for _, p := range l.directors {
+			if p.inFront() {
+				ready++
+			}
+		}
+	}
+	l.crowd = newCrowd(l, l.x.Seed)
+	lagging, stop := context.WithCancel(ctx)
+	defer stop()
+	go l.lag(lagging)
+	begin := time.Now()
+	end := begin.Add(time.Duration(l.x.Seconds * float64(time.Second)))
+	l.record.add(Event{Kind: "load", What: "begin"})
+	done := make(chan struct{})
+	go func() { l.crowd.run(end); close(done) }()
+	type due struct {
+		at time.Time
+		do func() error
+	}
+	var script []due
+	for i, s := range l.x.Steps {
+		at := begin.Add(time.Duration(s.At * float64(time.Second)))
+		do, undo := l.step(s, rand.New(rand.NewPCG(l.x.Seed, uint64(i)+100)))
+		script = append(script, due{at, do})
+		if s.For > 0 && undo != nil {
+			script = append(script, due{at.Add(time.Duration(s.For * float64(time.Second))), undo})
+		}
+	}
+	slices.SortStableFunc(script, func(a, b due) int { return a.at.Compare(b.at) })
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		var next <-chan time.Time
+		if len(script) > 0 {
+			next = time.After(time.Until(script[0].at))
+		}
+		select {
+		case <-next:
+			if err := script[0].do(); err != nil {
+				return err
+			}
+			script = script[1:]
+		case <-tick.C:
+			if progress != nil {
+				progress(time.Since(begin).Seconds())
+			}
+		case <-done:
+			if len(script) > 0 {
+				done = nil
+				continue
+			}
+			l.record.add(Event{Kind: "load", What: "end"})
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return l.err
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+		if done == nil && len(script) == 0 {
+			l.record.add(Event{Kind: "load", What: "end"})
+			return nil
+		}
+	}
+}
+
+// lag records how late the lab itself is: on a machine with too much to do, neither it nor the directors can keep
+// their times, and the checker allows for what was seen here.
+func (l *Lab) lag(ctx context.Context) {
+	const step = 20 * time.Millisecond
+	for ctx.Err() == nil {
+		began := time.Now()
+		time.Sleep(step)
+		if late := time.Since(began) - step; late > 5*time.Millisecond {
+			l.record.add(Event{Kind: "lag", Value: float64(late.Microseconds()) / 1000})
+		}
+	}
+}
+
+// draw picks a share of n, by the seed of its step.
+func draw(rng *rand.Rand, n int, share float64) []int {
+	if share == 0 {
+		share = 1
+	}
+	ids := rng.Perm(n)[:max(1, int(share*float64(n)+0.5))]
+	slices.Sort(ids)
+	return ids
+}
+
+// step is what a step does, and what undoes it; nil: nothing does.
+func (l *Lab) step(s Step, rng *rand.Rand) (do, undo func() error) {
+	plain := func(f func()) func() error { return func() error { f(); return nil } }
+	each := func(ids []int, f func(*process)) func() error {
+		return plain(func() {
+			for _, i := range ids {
+				f(l.directors[i])
+			}
+		})
+	}
+	on := doings[s.Do]
+	var ids []int
+	if on == "directors" || on == "link" {
+		ids = draw(rng, l.x.Directors, s.Share)
+	}
+	factor := s.Factor
+	if factor == 0 {
+		factor = 1
+	}
+	well := plain(func() { l.list.set("well", 1, 0) })
+	switch s.Do {
+	case "kill":
+		return each(ids, func(p *process) { p.signal(syscall.SIGKILL, "kill") }), func() error { return l.again(ids) }
+	case "term":
+		return each(ids, func(p *process) { p.signal(syscall.SIGTERM, "term") }), func() error { return l.again(ids) }
+	case "start":
+		return func() error { return l.again(ids) }, nil
+	case "stop":
+		return each(ids, func(p *process) { p.signal(syscall.SIGSTOP, "stop") }),
+			each(ids, func(p *process) { p.signal(syscall.SIGCONT, "cont") })
+	case "cont":
+		return each(ids, func(p *process) { p.signal(syscall.SIGCONT, "cont") }), nil
+	case "list-well", "list-slow":
+		return plain(func() { l.list.set("well", factor, 0) }), well
+	case "list-down", "list-hang", "list-half":
+		return plain(func() { l.list.set(s.Do[len("list-"):], 1, 0) }), plain(func() { l.list.set("well", factor, 0) })
+	case "list-older":
+		return plain(func() { l.list.set("older", 1, max(s.Back, 1)) }), well
+	case "list-break":
+		return plain(l.list.breakStreams), nil
+	case "replace", "replace-parents":
+		return func() error { return l.replace(s, rng) }, nil
+	case "drain":
+		return plain(func() { l.drain(draw(rng, len(l.caches), s.Share)) }), nil
+	case "kill-caches":
+		return plain(func() {
+			for _, i := range draw(rng, len(l.caches), s.Share) {
+				l.caches[i].down("down")
+			}
+		}), nil
+	case "silence-caches":
+		drawn := draw(rng, len(l.caches), s.Share)
+		set := func(on bool) func() error {
+			return plain(func() {
+				for _, i := range drawn {
+					c := l.caches[i]
+					c.mu.Lock()
+					c.silent = on
+					c.mu.Unlock()
+				}
+			})
+		}
+		return set(true), set(false)
+	case "purge":
+		return plain(func() { l.purge(rng) }), nil
+	case "burst":
+		return plain(func() { l.crowd.times(factor) }), plain(func() { l.crowd.times(1) })
+	}
+	x := fault{s.Do, time.Duration(s.DelayMS * float64(time.Millisecond))}
+	return plain(func() {
+			l.record.add(Event{Kind: "link", Who: s.Link, What: s.Do, N: len(ids)})
+			l.faults.set(s.Link, ids, x)
+		}), plain(func() {
+			l.record.add(Event{Kind: "link", Who: s.Link, What: "well", N: len(ids)})
+			l.faults.set(s.Link, ids, fault{})
+		})
+}
+
+// again starts directors with the list that they had, once their old processes are gone.
+func (l *Lab) again(ids []int) error {
+	for _, i := range ids {
+		p := l.directors[i]
+		p.mu.Lock()
+		gone := p.gone
+		p.mu.Unlock()
+		<-gone
+	}
+	return l.startAll(ids, true)
+}
+
+func (l *Lab) tell(s *server, state string) {
+	s.mu.Lock()
+	s.state = state
+	s.mu.Unlock()
+	l.list.publish(func(n int) string { return newsOf(n, false, s) }, Event{Who: s.name, What: state})
+}
+
+func (l *Lab) drain(ids []int) {
+	for _, i := range ids {
+		l.tell(l.caches[i], "draining")
+	}
+}
+
+// replace drains servers in turn, ends each, and starts a cold one in its place: every other at the old address.
+func (l *Lab) replace(s Step, rng *rand.Rand) error {
+	group, t, spec := &l.caches, cacheTier, l.x.Caches
+	if s.Do == "replace-parents" {
+		group, t, spec = &l.parents, parentTier, l.x.Parents
+	}
+	ids := draw(rng, len(*group), s.Share)
+	gap := time.Duration(s.Over / float64(len(ids)) * float64(time.Second))
+	for k, i := range ids {
+		old := (*group)[i]
+		time.AfterFunc(time.Duration(k)*gap, func() {
+			l.tell(old, "draining")
+			time.AfterFunc(min(gap, 300*time.Millisecond), func() {
+				old.down("down")
+				l.tell(old, "gone")
+				var addr *net.TCPAddr
+				if k%2 == 0 {
+					addr = old.addr
+				}
+				fresh, err := l.add(t, spec, addr, true)
+				if err != nil {
+					l.fail(fmt.Errorf("replace %s: %w", old.name, err))
+					return
+				}
+				l.mu.Lock()
+				(*group)[i] = fresh
+				l.mu.Unlock()
+				l.tell(fresh, "ready")
+			})
+		})
+	}
+	return nil
+}
+
+// purge purges one of the most wanted objects.
+func (l *Lab) purge(rng *rand.Rand) {
+	object, at := fmt.Sprintf("%016x", 1+rng.IntN(8)), time.Now()
+	l.list.publish(func(n int) string {
+		return fmt.Sprintf(`{"n":%d,"purge":{"key":%q,"at":%d}}`, n, object, at.UnixMilli())
+	}, Event{Object: object, What: "purge", Since: l.record.at(at.UnixMilli())})
+	// Caches drop it in their own time; until then the directors' word must hold.
+	time.AfterFunc(2*time.Second, func() {
+		for _, s := range slices.Concat(l.caches, l.parents) {
+			s.purge(object)
+		}
+	})
+}
+
+// end leaves nothing behind.
+func (l *Lab) end() {
+	var wg sync.WaitGroup
+	for _, p := range l.directors {
+		wg.Add(1)
+		go func() { defer wg.Done(); p.end() }()
+	}
+	wg.Wait()
+	if l.list != nil {
+		l.list.close()
+	}
+	l.mu.Lock()
+	servers := l.servers
+	l.mu.Unlock()
+	for _, s := range servers {
+		s.mu.Lock()
+		s.ln.Close()
+		for c := range s.conns {
+			c.Close()
+		}
+		s.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/lab/process.go
@@ -0,0 +1,232 @@
+package lab
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// directorName is a director's name in configurations and records.
+func directorName(i int) string { return fmt.Sprintf("d%d", i) }
+
+// process is one director: a real process of the program, started again under its name and address.
+type process struct {
+	lab  *Lab
+	id   int
+	list string // address of the list service for it
+
+	mu      sync.Mutex
+	address string // where it listens; the same from its first start on
+	cmd     *exec.Cmd
+	starts  int
+	started time.Time
+	known   int  // last event in its last configuration
+	front   bool // the front holds it for ready
+	stopped bool
+	up      chan struct{}
+	gone    chan struct{}
+}
+
+func (p *process) addr() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.address
+}
+
+// inFront tells whether clients are sent there.
+func (p *process) inFront() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.front
+}
+
+// starter starts processes on one thread, which lives as long as the lab: a child is told to die with its
+// parent thread, so that none is left behind also when the lab itself is killed.
+type starter struct{ jobs chan func() }
+
+func newStarter() *starter {
+	s := &starter{make(chan func())}
+	go func() {
+		runtime.LockOSThread()
+		for job := range s.jobs {
+			job()
+		}
+	}()
+	return s
+}
+
+func (s *starter) start(cmd *exec.Cmd) error {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	err := make(chan error)
+	s.jobs <- func() { err <- cmd.Start() }
+	return <-err
+}
+
+// start runs the program. Its list is the present one, or for last the one it was started with before.
+func (p *process) start(last bool) error {
+	l := p.lab
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return nil
+	}
+	listen := p.address
+	if listen == "" {
+		listen = l.ip(4, p.id).String() + ":0"
+	}
+	if !last || p.known == 0 {
+		p.known = l.list.last()
+	}
+	p.starts++
+	c := map[string]any{"name": directorName(p.id), "listen": listen,
+		"seed":   fmt.Sprintf("%x", l.x.Seed<<32|uint64(p.starts)<<16|uint64(p.id)),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"feed":   p.list, "flow_bytes_per_s": 310000, "link_bytes_per_s": 1240000,
+		"known": l.list.known(p.known), "settings": l.settings(p.id)}
+	text, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(l.dir, directorName(p.id)+".json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return err
+	}
+	cmd := exec.Command(l.binary)
+	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+file, "GOTRACEBACK=all")
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		return err
+	}
+	if err := l.starter.start(cmd); err != nil {
+		return err
+	}
+	p.cmd, p.started, p.stopped = cmd, time.Now(), false
+	p.up, p.gone = make(chan struct{}), make(chan struct{})
+	l.record.add(Event{Kind: "process", Who: directorName(p.id), What: "start", N: p.known})
+	go p.follow(cmd, bufio.NewScanner(log), p.up, p.gone)
+	go p.watch(p.up, p.gone)
+	return nil
+}
+
+// follow reads the log, keeps it, and learns where the process listens.
+func (p *process) follow(cmd *exec.Cmd, log *bufio.Scanner, up, gone chan struct{}) {
+	log.Buffer(nil, 1<<20)
+	kept, err := os.OpenFile(filepath.Join(p.lab.dir, directorName(p.id)+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		p.lab.fail(err)
+	}
+	seen := false
+	for log.Scan() {
+		if kept != nil {
+			fmt.Fprintln(kept, log.Text())
+		}
+		if _, rest, ok := strings.Cut(log.Text(), "listens on "); ok && !seen {
+			seen = true
+			address, _, _ := strings.Cut(rest, ": ")
+			address, _, _ = strings.Cut(address, `"`)
+			p.mu.Lock()
+			p.address = address
+			p.mu.Unlock()
+			close(up)
+		}
+	}
+	if kept != nil {
+		kept.Close()
+	}
+	status := "exit"
+	if err := cmd.Wait(); err != nil {
+		status = err.Error()
+	}
+	p.mu.Lock()
+	p.cmd, p.front = nil, false
+	p.mu.Unlock()
+	p.lab.record.add(Event{Kind: "process", Who: directorName(p.id), What: "gone", Class: status})
+	close(gone)
+}
+
+// watch is the front: it takes the director in once a heartbeat is good, and notices a dead one late.
+func (p *process) watch(up, gone chan struct{}) {
+	select {
+	case <-up:
+	case <-gone:
+		return
+	}
+	for {
+		good := p.heartbeat()
+		p.mu.Lock()
+		first := good && !p.front
+		p.front = good || (p.front && p.stopped) // a stopped one is noticed no sooner than its clients notice
+		since := time.Since(p.started)
+		p.mu.Unlock()
+		if first {
+			p.lab.record.add(Event{Kind: "ready", Who: directorName(p.id), Value: float64(since.Microseconds()) / 1000})
+		}
+		wait := 20 * time.Millisecond
+		if good {
+			wait = 500 * time.Millisecond
+		}
+		select {
+		case <-gone:
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (p *process) heartbeat() bool {
+	c, err := p.lab.dial(p.id)
+	if err != nil {
+		return false
+	}
+	defer c.Conn.Close()
+	ch, _ := c.call(func(seq int32) []byte { return thriftCall(1, "heartbeat", seq, []byte{2, 0, 1, 0}) })
+	if ch == nil {
+		return false
+	}
+	select {
+	case r := <-ch:
+		return r.what == "served"
+	case <-time.After(2 * time.Second):
+		return false
+	}
+}
+
+// signal sends a signal by the process's id.
+func (p *process) signal(s syscall.Signal, what string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	switch s {
+	case syscall.SIGSTOP:
+		p.stopped = true
+	case syscall.SIGCONT:
+		p.stopped = false
+	}
+	p.lab.record.add(Event{Kind: "process", Who: directorName(p.id), What: what})
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.lab.fail(fmt.Errorf("signal %v to %s: %w", s, directorName(p.id), err))
+	}
+}
+
+// end kills what runs and waits until it is gone.
+func (p *process) end() {
+	p.mu.Lock()
+	gone := p.gone
+	if p.cmd == nil {
+		p.mu.Unlock()
+		return
+	}
+	_ = p.cmd.Process.Kill()
+	p.mu.Unlock()
+	<-gone
+}
--- /dev/null
+++ b/internal/lab/record.go
@@ -0,0 +1,85 @@
+// Package lab starts a fleet of directors as processes of their own between stand-ins for everything that they
+// talk to (the list service, caches, parents, the origin, clients), breaks what lies between them by a script,
+// and writes all that crosses the stand-ins into one record. internal/labcheck judges the record; it shares no
+// code with this package or with the program.
+package lab
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"sync"
+	"time"
+)
+
+// Event is one line of a record. Which fields are set hangs on the kind (docs/laboratory.md lists them); times
+// are milliseconds from the begin of the run.
+type Event struct {
+	MS       float64 `json:"ms"`
+	Kind     string  `json:"kind"`
+	Who      string  `json:"who,omitempty"`
+	What     string  `json:"what,omitempty"`
+	Director string  `json:"director,omitempty"`
+	Ref      string  `json:"ref,omitempty"`
+	Class    string  `json:"class,omitempty"`
+	Object   string  `json:"object,omitempty"`
+	Up       string  `json:"up,omitempty"`
+	N        int     `json:"n,omitempty"`
+	Value    float64 `json:"value,omitempty"`
+	Work     float64 `json:"work,omitempty"`
+	Since    float64 `json:"since,omitempty"`
+	Allow    float64 `json:"allow,omitempty"`
+	Again    bool    `json:"again,omitempty"`
+
+	// Of kind "life": what a server can bear.
+	Weight   float64 `json:"weight,omitempty"`
+	ColdFrom float64 `json:"cold_from,omitempty"`
+	Ramp     float64 `json:"ramp,omitempty"`
+	Fall     float64 `json:"fall,omitempty"`
+	Multiple float64 `json:"multiple,omitempty"`
+}
+
+// recorder takes events from all stand-ins, in the order in which they happen.
+type recorder struct {
+	begin time.Time
+	mu    sync.Mutex
+	f     *os.File
+	w     *bufio.Writer
+	e     *json.Encoder
+	err   error
+}
+
+func newRecorder(path string) (*recorder, error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	w := bufio.NewWriterSize(f, 1<<16)
+	return &recorder{begin: time.Now(), f: f, w: w, e: json.NewEncoder(w)}, nil
+}
+
+// ms is the time since the begin; times on the wire are Unix milliseconds and are recorded by at.
+func (r *recorder) ms() float64 { return float64(time.Since(r.begin).Microseconds()) / 1000 }
+
+func (r *recorder) at(unixMS int64) float64 { return float64(unixMS - r.begin.UnixMilli()) }
+
+func (r *recorder) add(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e.MS = r.ms()
+	if err := r.e.Encode(e); err != nil && r.err == nil {
+		r.err = err
+	}
+}
+
+func (r *recorder) close() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.w.Flush(); err != nil && r.err == nil {
+		r.err = err
+	}
+	if err := r.f.Close(); err != nil && r.err == nil {
+		r.err = err
+	}
+	return r.err
+}
--- /dev/null
+++ b/internal/labcheck/check.go
@@ -0,0 +1,413 @@
+// Package labcheck judges the record of a laboratory run by the rules of the protocol page, and reads the figures
+// off it. It knows the record's lines and nothing else: it shares no code with the program, nor with the stand-ins
+// that wrote the record.
+package labcheck
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+)
+
+// Broken is one breach of a rule.
+type Broken struct {
+	Rule   string  `json:"rule"`
+	AtMS   float64 `json:"at_ms"`
+	Who    string  `json:"who"`
+	Detail string  `json:"detail"`
+}
+
+// Verdict is what a record comes to.
+type Verdict struct {
+	Broken  []Broken
+	Figures map[string]float64
+}
+
+// line is a line of the record. Times are milliseconds.
+type line struct {
+	MS                                                      float64
+	Kind, Who, What, Director, Ref, Class, Object, Up       string
+	N                                                       int
+	Value, Work, Since, Allow, Weight, Ramp, Fall, Multiple float64
+	ColdFrom                                                float64 `json:"cold_from"`
+	Again                                                   bool
+}
+
+// Figures of the rules, in milliseconds (protocol page): every limit is 50 ms longer on sockets.
+const (
+	slack      = 50.0
+	drainMost  = 2000.0
+	purgeMost  = 500.0
+	toldAtMost = 7000.0
+	stopTakes  = 700.0 // after SIGTERM requests are owed an answer for so long
+	lagTimes   = 3.0   // times the lab's own lateness that a limit is longer
+	budgetOver = 1.0   // of the cold budget
+)
+
+// record is what the lines come to, by what the rules ask of them.
+type record struct {
+	lines  []line
+	lags   []line
+	lives  map[string][]line // of directors: process and ready
+	ends   map[string]line   // answers by ref
+	news   []line
+	told   map[string][]line // by director
+	unwell []span            // of the list service or of links to it
+	links  []span            // of links to clients, with what was wrong
+}
+
+type span struct{ from, to float64 }
+
+const forever = 1e15
+
+// Check reads a record and judges it.
+func Check(r io.Reader) (*Verdict, error) {
+	rec := &record{lives: map[string][]line{}, ends: map[string]line{}, told: map[string][]line{}}
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, 1<<20)
+	for n := 1; s.Scan(); n++ {
+		var l line
+		if err := json.Unmarshal(s.Bytes(), &l); err != nil {
+			return nil, fmt.Errorf("line %d: %w", n, err)
+		}
+		if l.Kind == "" {
+			return nil, fmt.Errorf("line %d: no kind", n)
+		}
+		rec.lines = append(rec.lines, l)
+	}
+	if err := s.Err(); err != nil {
+		return nil, err
+	}
+	v := &Verdict{}
+	rec.sort(v)
+	rec.answers(v)
+	rec.repayments(v)
+	rec.drains(v)
+	worst := rec.cold(v)
+	rec.purges(v)
+	rec.faults(v)
+	slices.SortStableFunc(v.Broken, func(a, b Broken) int {
+		switch {
+		case a.AtMS < b.AtMS:
+			return -1
+		case a.AtMS > b.AtMS:
+			return 1
+		}
+		return 0
+	})
+	v.Figures = rec.figures()
+	v.Figures["cold_budget_worst"] = worst
+	return v, nil
+}
+
+func (v *Verdict) broke(rule string, at float64, who, format string, a ...any) {
+	v.Broken = append(v.Broken, Broken{rule, at, who, fmt.Sprintf(format, a...)})
+}
+
+// sort puts the lines in order and by kind.
+func (r *record) sort(v *Verdict) {
+	open := map[string]int{} // index of an open span by service or link
+	end := func(spans []span, key string, at float64) []span {
+		if i, ok := open[key]; ok {
+			spans[i].to = at
+			delete(open, key)
+		}
+		return spans
+	}
+	for _, l := range r.lines {
+		switch l.Kind {
+		case "lag":
+			r.lags = append(r.lags, l)
+		case "process", "ready":
+			r.lives[l.Who] = append(r.lives[l.Who], l)
+		case "answer":
+			if first, ok := r.ends[l.Ref]; ok {
+				v.broke("answer", l.MS, l.Director, "%s was answered %s and then %s", l.Ref, first.What, l.What)
+				continue
+			}
+			r.ends[l.Ref] = l
+		case "news":
+			r.news = append(r.news, l)
+		case "told":
+			r.told[l.Director] = append(r.told[l.Director], l)
+		case "list":
+			if l.What == "break" {
+				break
+			}
+			r.unwell = end(r.unwell, "service", l.MS)
+			if l.What != "well" || (l.Value != 0 && l.Value != 1) {
+				open["service"] = len(r.unwell)
+				r.unwell = append(r.unwell, span{l.MS, forever})
+			}
+		case "link":
+			spans := &r.links
+			if l.Who == "list" {
+				spans = &r.unwell
+			} else if l.Who != "clients" {
+				break
+			}
+			*spans = end(*spans, l.Who, l.MS)
+			if l.What != "well" && l.What != "delay" && l.What != "drip" {
+				open[l.Who] = len(*spans)
+				*spans = append(*spans, span{l.MS, forever})
+			}
+		}
+	}
+}
+
+func touches(spans []span, from, to float64) bool {
+	return slices.ContainsFunc(spans, func(s span) bool { return s.from <= to && s.to >= from })
+}
+
+// lag is what a limit is longer by: the lab's own lateness about that time.
+func (r *record) lag(from, to float64) float64 {
+	most := 0.0
+	for _, l := range r.lags {
+		if l.MS >= from-100 && l.MS-l.Value <= to+100 {
+			most = max(most, l.Value)
+		}
+	}
+	return lagTimes * most
+}
+
+// excused tells whether a director could not answer in the time: it was down, killed or stopped.
+func (r *record) excused(director string, from, to float64) bool {
+	up, stopped, leaves := false, false, forever
+	for _, l := range r.lives[director] {
+		if l.MS > to {
+			break
+		}
+		if l.MS > from && (!up || stopped || from > leaves) {
+			return true
+		}
+		switch {
+		case l.What == "start":
+			up, stopped, leaves = true, false, forever
+		case l.What == "stop":
+			stopped = true
+		case l.What == "cont":
+			stopped = false
+			if l.MS > from {
+				return true
+			}
+		case l.What == "term":
+			leaves = l.MS + stopTakes
+		case l.What == "kill", l.What == "gone":
+			if up && l.MS > from && leaves == forever {
+				return true
+			}
+			if l.What == "gone" {
+				up = false
+			}
+		}
+	}
+	return !up || stopped || from > leaves
+}
+
+// answers: each request gets exactly one final answer, in time.
+func (r *record) answers(v *Verdict) {
+	for _, l := range r.lines {
+		switch l.Kind {
+		case "ask":
+			end, ok := r.ends[l.Ref]
+			limit := l.Allow + slack + r.lag(l.MS, l.MS+l.Allow+slack)
+			if r.excused(l.Director, l.MS, l.MS+limit) || touches(r.links, l.MS, l.MS+limit) {
+				continue
+			}
+			switch {
+			case !ok:
+				v.broke("answer", l.MS, l.Director, "%s was never answered", l.Ref)
+			case end.What != "served" && end.What != "refused" && end.What != "failed":
+				v.broke("answer", l.MS, l.Director, "%s: %s", l.Ref, end.What)
+			case end.MS-l.MS > limit:
+				v.broke("answer", l.MS, l.Director, "%s was answered after %.0f ms of %.0f", l.Ref, end.MS-l.MS, l.Allow)
+			}
+		case "stray":
+			v.broke("answer", l.MS, l.Who, "call %d was answered twice, or never made", l.N)
+		}
+	}
+}
+
+// repayments: what must not run twice runs at most once, and a refusal means that it did not run.
+func (r *record) repayments(v *Verdict) {
+	runs := map[string]int{}
+	for _, l := range r.lines {
+		if l.Kind != "run" {
+			continue
+		}
+		if runs[l.Ref]++; runs[l.Ref] == 2 {
+			v.broke("repayment", l.MS, l.Who, "%s ran twice", l.Ref)
+		}
+		if end := r.ends[l.Ref]; end.What == "refused" {
+			v.broke("repayment", l.MS, end.Director, "%s ran and was refused", l.Ref)
+		}
+	}
+}
+
+// heard is when a director counts as told of an event: when the service has it, whether it is connected or not,
+// if the service is well from then on; else when it was written to it, or toldAtMost later.
+func (r *record) heard(director string, e line) float64 {
+	at := e.MS
+	if strings.HasSuffix(e.What, "unheard") || touches(r.unwell, e.MS, e.MS+drainMost) {
+		at = e.MS + toldAtMost
+		for _, t := range r.told[director] {
+			if t.N >= e.N && t.MS >= e.MS {
+				at = min(at, t.MS)
+				break
+			}
+		}
+	}
+	return at
+}
+
+// life is the present life of a director at a time: when its process was started.
+func (r *record) life(director string, at float64) float64 {
+	start := 0.0
+	for _, l := range r.lives[director] {
+		if l.What == "start" && l.MS <= at {
+			start = l.MS
+		}
+	}
+	return start
+}
+
+// drains: nothing new to a cache that drains or has gone, as target or source, past drainMost.
+func (r *record) drains(v *Verdict) {
+	left := map[string]line{}
+	for _, e := range r.news {
+		if _, ok := left[e.Who]; !ok && (strings.HasPrefix(e.What, "draining") || strings.HasPrefix(e.What, "gone")) {
+			left[e.Who] = e
+		}
+	}
+	for _, l := range r.lines {
+		if l.Kind != "req" && l.Kind != "source" {
+			continue
+		}
+		e, ok := left[l.Who]
+		if !ok || l.MS < e.MS {
+			continue
+		}
+		told := max(r.heard(l.Director, e), r.life(l.Director, l.MS))
+		if over := l.MS - told - drainMost - slack; over > r.lag(l.MS-drainMost, l.MS) {
+			v.broke("drain", l.MS, l.Director, "%s went to %s %.0f ms after it was told (%s)", l.Ref, l.Who, l.MS-told, l.Kind)
+		}
+	}
+}
+
+// cold: a server that has just started gets no more from all directors together than it bears. It returns the
+// worst share of the budget that any window held.
+func (r *record) cold(v *Verdict) (worst float64) {
+	type state struct {
+		up      line
+		arrived []line
+		told    int
+		broken  bool
+	}
+	cold := map[string]*state{}
+	ready := map[string]line{}
+	for _, e := range r.news {
+		if strings.HasPrefix(e.What, "ready") {
+			ready[e.Who] = e
+		}
+	}
+	for _, l := range r.lines {
+		switch l.Kind {
+		case "life":
+			if l.What == "up" && l.Multiple > 0 {
+				cold[l.Who] = &state{up: l}
+			}
+		case "req", "source":
+			s := cold[l.Who]
+			if s == nil || l.Work == 0 {
+				continue
+			}
+			share := s.up.ColdFrom + (1-s.up.ColdFrom)*(l.MS-s.up.MS)/max(s.up.Ramp, 1)
+			if share >= 1 {
+				delete(cold, l.Who)
+				continue
+			}
+			s.arrived = append(s.arrived, l)
+			for l.MS-s.arrived[0].MS > s.up.Fall {
+				s.arrived = s.arrived[1:]
+			}
+			sum, told := 0.0, 0.0
+			for _, a := range s.arrived {
+				sum += a.Work
+				if e, ok := ready[l.Who]; !ok || r.heard(a.Director, e) <= a.MS {
+					told += a.Work
+				}
+			}
+			part := sum / (s.up.Multiple * s.up.Weight * share * s.up.Fall / 1000)
+			worst = max(worst, part)
+			if part > budgetOver && told >= sum*2/3 && !s.broken {
+				s.broken = true
+				v.broke("cold", l.MS, l.Who, "%.2f times its budget within %.0f ms, from %d attempts", part, s.up.Fall, len(s.arrived))
+			}
+		}
+	}
+	return worst
+}
+
+// purges: no attempt made later than purgeMost after a purge was told may be answered from an older copy.
+func (r *record) purges(v *Verdict) {
+	sent := map[string]line{} // the latest request of a ref at a server
+	object := map[string]string{}
+	for _, l := range r.lines {
+		switch l.Kind {
+		case "req":
+			sent[l.Ref+" "+l.Who], object[l.Ref] = l, l.Object
+		case "done":
+			if l.What != "OK" {
+				continue
+			}
+			q := sent[l.Ref+" "+l.Who]
+			for _, e := range r.news {
+				if e.Object == "" || e.Object != object[l.Ref] || l.Since >= e.Since {
+					continue
+				}
+				told := max(r.heard(l.Director, e), r.life(l.Director, q.MS))
+				if over := q.MS - told - purgeMost - slack; over > r.lag(q.MS-purgeMost, q.MS) {
+					v.broke("purge", q.MS, l.Director, "%s got a copy of %s from %.0f ms before its purge, asked for %.0f ms after that was told",
+						l.Ref, l.Object, e.Since-l.Since, q.MS-told)
+				}
+			}
+		}
+	}
+}
+
+// faults: what a director sent that can't be used.
+func (r *record) faults(v *Verdict) {
+	for _, l := range r.lines {
+		if l.Kind == "fault" {
+			v.broke("protocol", l.MS, l.Who, "%s", l.What)
+		}
+	}
+	for who, lives := range r.lives {
+		asked := false // to end
+		for _, l := range lives {
+			switch l.What {
+			case "kill", "term":
+				asked = true
+			case "start":
+				asked = false
+			case "gone":
+				if !asked && l.MS < r.lines[len(r.lines)-1].MS && !r.over(l.MS) {
+					v.broke("crash", l.MS, who, "ended unasked: %s", l.Class)
+				}
+			}
+		}
+	}
+}
+
+// over tells that the load had ended, and the lab is taking all down.
+func (r *record) over(at float64) bool {
+	for _, l := range r.lines {
+		if l.Kind == "load" && l.What == "end" && l.MS <= at {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/labcheck/check_test.go
@@ -0,0 +1,170 @@
+package labcheck
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// good is a record in which everything is as it should be.
+var good = []string{
+	`{"ms":1,"kind":"meta","what":"story","n":2}`,
+	`{"ms":2,"kind":"life","who":"c1","what":"up","class":"edge","weight":10}`,
+	`{"ms":2,"kind":"life","who":"c2","what":"up","class":"edge","weight":10,"cold_from":0.5,"ramp":10000,"fall":1000,"multiple":2}`,
+	`{"ms":3,"kind":"news","what":"list","n":1}`,
+	`{"ms":5,"kind":"process","who":"d0","what":"start","n":1}`,
+	`{"ms":5,"kind":"process","who":"d1","what":"start","n":1}`,
+	`{"ms":30,"kind":"ready","who":"d0","value":25}`,
+	`{"ms":40,"kind":"call","director":"d0","what":"served","value":1}`,
+	`{"ms":900,"kind":"call","director":"d1","what":"served","value":1}`,
+	`{"ms":100,"kind":"load","what":"begin"}`,
+	`{"ms":110,"kind":"ask","ref":"r1","director":"d0","class":"media","object":"o1","allow":1000}`,
+	`{"ms":111,"kind":"req","who":"c1","director":"d0","ref":"r1","class":"media","object":"o1","work":0.02}`,
+	`{"ms":130,"kind":"done","who":"c1","director":"d0","ref":"r1","what":"OK","class":"HIT","since":50}`,
+	`{"ms":131,"kind":"answer","ref":"r1","director":"d0","what":"served","since":50}`,
+	`{"ms":140,"kind":"ask","ref":"p1","director":"d1","class":"repayment","object":"o2","allow":1000}`,
+	`{"ms":150,"kind":"run","who":"s-origin","ref":"p1"}`,
+	`{"ms":160,"kind":"answer","ref":"p1","director":"d1","what":"served","since":150}`,
+	`{"ms":9000,"kind":"load","what":"end"}`,
+	`{"ms":9010,"kind":"process","who":"d0","what":"gone","class":"killed"}`,
+	`{"ms":9010,"kind":"process","who":"d1","what":"gone","class":"killed"}`,
+}
+
+// judge judges the good record with lines more, in order of time, and without those that hold a text.
+func judge(t *testing.T, without string, more ...string) *Verdict {
+	t.Helper()
+	lines := slices.DeleteFunc(slices.Clone(good), func(l string) bool { return without != "" && strings.Contains(l, without) })
+	lines = append(lines, more...)
+	at := func(l string) (ms float64) {
+		if _, err := fmt.Sscanf(l, `{"ms":%f`, &ms); err != nil {
+			t.Fatalf("%s: %v", l, err)
+		}
+		return ms
+	}
+	slices.SortStableFunc(lines, func(a, b string) int { return int(at(a) - at(b)) })
+	v, err := Check(strings.NewReader(strings.Join(lines, "\n")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+const (
+	ask2   = `{"ms":200,"kind":"ask","ref":"r2","director":"d0","class":"media","object":"o1","allow":1000}`
+	drain  = `{"ms":1000,"kind":"news","who":"c1","what":"draining","n":2}`
+	purge  = `{"ms":1000,"kind":"news","what":"purge","object":"o1","since":1000,"n":2}`
+	older  = `{"ms":3021,"kind":"done","who":"c1","director":"d0","ref":"r2","what":"OK","since":900}`
+	asked  = `{"ms":3000,"kind":"ask","ref":"r2","director":"d0","class":"media","object":"o1","allow":1000}`
+	served = `{"ms":3030,"kind":"answer","ref":"r2","director":"d0","what":"served","since":900}`
+)
+
+func req(ms int, who string) string {
+	return fmt.Sprintf(`{"ms":%d,"kind":"req","who":%q,"director":"d0","ref":"r2","object":"o1","work":0.02}`, ms, who)
+}
+
+// Each rule broken, and its nearest neighbour that keeps it.
+func TestRules(t *testing.T) {
+	crowd := func(n int) (l []string) {
+		for i := range n {
+			l = append(l, fmt.Sprintf(`{"ms":%d,"kind":"source","who":"c2","director":"d%d","ref":"x","work":0.1}`, 500+i, i%2))
+		}
+		return l
+	}
+	for _, c := range []struct {
+		name, without string
+		more          []string
+		rule          string // "": all is kept
+	}{
+		{"as it should be", "", nil, ""},
+		{"never answered", "", []string{ask2}, "answer"},
+		{"lost", "", []string{ask2, `{"ms":300,"kind":"answer","ref":"r2","director":"d0","what":"lost"}`}, "answer"},
+		{"spoilt", "", []string{ask2, `{"ms":300,"kind":"answer","ref":"r2","director":"d0","what":"spoilt"}`}, "answer"},
+		{"late", "", []string{ask2, `{"ms":1260,"kind":"answer","ref":"r2","director":"d0","what":"failed"}`}, "answer"},
+		{"just in time", "", []string{ask2, `{"ms":1240,"kind":"answer","ref":"r2","director":"d0","what":"failed"}`}, ""},
+		{"late on a machine that lags", "", []string{ask2, `{"ms":1200,"kind":"lag","value":20}`,
+			`{"ms":1300,"kind":"answer","ref":"r2","director":"d0","what":"failed"}`}, ""},
+		{"twice", "", []string{`{"ms":300,"kind":"answer","ref":"r1","director":"d0","what":"refused"}`}, "answer"},
+		{"a stray answer", "", []string{`{"ms":300,"kind":"stray","who":"d0","n":3}`}, "answer"},
+		{"lost with its director", "", []string{ask2, `{"ms":250,"kind":"process","who":"d0","what":"kill"}`,
+			`{"ms":260,"kind":"answer","ref":"r2","director":"d0","what":"lost"}`,
+			`{"ms":265,"kind":"process","who":"d0","what":"gone","class":"killed"}`}, ""},
+		{"lost by a planned stop", "", []string{ask2, `{"ms":150,"kind":"process","who":"d0","what":"term"}`,
+			`{"ms":260,"kind":"answer","ref":"r2","director":"d0","what":"lost"}`}, "answer"},
+		{"taken long after a planned stop", "", []string{`{"ms":2200,"kind":"ask","ref":"r2","director":"d0","class":"media","object":"o1","allow":1000}`,
+			`{"ms":1400,"kind":"process","who":"d0","what":"term"}`,
+			`{"ms":2260,"kind":"answer","ref":"r2","director":"d0","what":"lost"}`}, ""},
+		{"late from a stopped one", "", []string{ask2, `{"ms":300,"kind":"process","who":"d0","what":"stop"}`,
+			`{"ms":5300,"kind":"process","who":"d0","what":"cont"}`,
+			`{"ms":5400,"kind":"answer","ref":"r2","director":"d0","what":"failed"}`}, ""},
+		{"ran twice", "", []string{`{"ms":155,"kind":"run","who":"s-origin","ref":"p1"}`}, "repayment"},
+		{"ran and refused", `"served","since":150`, []string{`{"ms":160,"kind":"answer","ref":"p1","director":"d1","what":"refused"}`}, "repayment"},
+		{"ran and failed", `"served","since":150`, []string{`{"ms":160,"kind":"answer","ref":"p1","director":"d1","what":"failed"}`}, ""},
+		{"to a draining cache", "", []string{drain, req(3100, "c1")}, "drain"},
+		{"soon to a draining cache", "", []string{drain, req(3040, "c1")}, ""},
+		{"filled from a draining cache", "", []string{drain, `{"ms":3100,"kind":"source","who":"c1","director":"d0","ref":"r1"}`}, "drain"},
+		{"the drain was not told yet", "", []string{`{"ms":900,"kind":"list","what":"down","value":1}`,
+			`{"ms":1000,"kind":"news","who":"c1","what":"draining unheard","n":2}`, req(3100, "c1")}, ""},
+		{"told late, and heeded later still", "", []string{`{"ms":900,"kind":"list","what":"down","value":1}`,
+			`{"ms":1000,"kind":"news","who":"c1","what":"draining unheard","n":2}`,
+			`{"ms":2000,"kind":"told","director":"d0","n":2}`, req(4100, "c1")}, "drain"},
+		{"counts as told after 7 s", "", []string{`{"ms":900,"kind":"list","what":"down","value":1}`,
+			`{"ms":1000,"kind":"news","who":"c1","what":"draining unheard","n":2}`,
+			`{"ms":10100,"kind":"req","who":"c1","director":"d0","ref":"r1","work":0.02}`}, "drain"},
+		{"started with the drain", "", []string{drain, `{"ms":3000,"kind":"process","who":"d0","what":"start","n":1}`, req(3100, "c1")}, ""},
+		{"a cold cache pushed over by two", "", crowd(120), "cold"},
+		{"a cold cache that bears it", "", crowd(90), ""},
+		{"a cold cache pushed over by who was not told", "", append(crowd(120), `{"ms":900,"kind":"news","who":"c2","what":"ready","n":2}`), ""},
+		{"an older copy than the purge", "", []string{purge, asked, req(3001, "c1"), older, served}, "purge"},
+		{"the purge was just told", "", []string{`{"ms":2600,"kind":"news","what":"purge","object":"o1","since":2600,"n":2}`,
+			asked, req(3001, "c1"), older, served}, ""},
+		{"a copy since the purge", "", []string{purge, asked, req(3001, "c1"), strings.Replace(older, "900", "1001", 1), served}, ""},
+		{"a crash", "", []string{`{"ms":4000,"kind":"process","who":"d1","what":"gone","class":"status 2"}`}, "crash"},
+		{"bad words", "", []string{`{"ms":4000,"kind":"fault","who":"c1","what":"can't use"}`}, "protocol"},
+	} {
+		v := judge(t, c.without, c.more...)
+		var rules []string
+		for _, b := range v.Broken {
+			rules = append(rules, b.Rule)
+		}
+		want := []string{c.rule}
+		if c.rule == "" {
+			want = nil
+		}
+		if !slices.Equal(rules, want) {
+			t.Errorf("%s: broken %+v, want %q", c.name, v.Broken, c.rule)
+		}
+	}
+}
+
+func TestFiguresOfCalls(t *testing.T) {
+	var more []string
+	for i := range 20 { // twenty directors that start together and call within 100 ms, half of them twice
+		more = append(more, fmt.Sprintf(`{"ms":%d,"kind":"process","who":"e%d","what":"start"}`, 2000+i, i),
+			fmt.Sprintf(`{"ms":%d,"kind":"call","director":"e%d","what":"timed out","value":100}`, 2200+i, i))
+		if i%2 == 0 {
+			more = append(more, fmt.Sprintf(`{"ms":%d,"kind":"call","director":"e%d","what":"served","value":1}`, 2400+i, i))
+		}
+	}
+	f := judge(t, "", more...).Figures
+	if f["list_peak_ratio"] < 14 || f["list_peak_ratio"] > 16 { // all 20 in one of 15 bins
+		t.Errorf("peak ratio %v, want about 15", f["list_peak_ratio"])
+	}
+	if got, want := f["list_calls_per_start"], 32.0/22; got != want {
+		t.Errorf("%v calls a start, want %v", got, want)
+	}
+	if f["list_timeouts"] != 20 {
+		t.Errorf("%v time-outs, want 20", f["list_timeouts"])
+	}
+	if f["served_share"] != 1 || f["requests"] != 2 {
+		t.Errorf("served %v of %v", f["served_share"], f["requests"])
+	}
+}
+
+func TestWhatIsNoRecordIsAnError(t *testing.T) {
+	for _, text := range []string{"{", "{}", `{"ms":"x"}`} {
+		if _, err := Check(strings.NewReader(text)); err == nil || !strings.Contains(err.Error(), "line 1") {
+			t.Errorf("%s: error %v", text, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/labcheck/figures.go
@@ -0,0 +1,152 @@
+package labcheck
+
+import (
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// FigureNames are the figures that a verdict has.
+var FigureNames = []string{"list_peak_ratio", "list_calls_per_start", "list_timeouts", "list_calls", "cold_budget_worst",
+	"origin_fetches_per_object", "origin_busy", "ready_ms_p99", "served_share", "served_share_all", "refused_share",
+	"attempts_per_request", "conns_turned_away", "answer_ms_p50", "answer_ms_p99", "lag_ms_max", "requests"}
+
+const (
+	firstSpan = 20_000.0 // of the load, that served_share counts
+	startGap  = 500.0    // starts that are no further apart, one to the next, are one start of the fleet
+	leastSpan = 1_500.0  // of calls, over which the mean of a start is taken
+	bin       = 100.0
+	callsSpan = 3_000.0 // of a director's calls that belong to its start
+)
+
+// figures reads all figures but those that come of a rule.
+func (r *record) figures() map[string]float64 {
+	f := map[string]float64{}
+	for _, n := range FigureNames {
+		f[n] = 0
+	}
+	r.listFigures(f)
+	begin, objects, fetches := 0.0, map[string]bool{}, 0.0
+	answers, ready := hdrhistogram.New(1, 120_000, 3), hdrhistogram.New(1, 120_000, 3)
+	asks := map[string]line{}
+	var first, firstServed, firstAll, servedAll, refused, attempts, requests float64
+	for _, l := range r.lines {
+		switch l.Kind {
+		case "load":
+			if l.What == "begin" {
+				begin = l.MS
+			}
+		case "ask":
+			asks[l.Ref] = l
+			requests++
+			if !l.Again {
+				firstAll++
+				if l.MS-begin <= firstSpan {
+					first++
+				}
+			}
+		case "nowhere":
+			first++
+			firstAll++
+		case "answer":
+			q := asks[l.Ref]
+			switch l.What {
+			case "served":
+				servedAll++
+				_ = answers.RecordValue(int64(max(1, l.MS-q.MS)))
+				if q.MS-begin <= firstSpan {
+					firstServed++
+				}
+			case "refused":
+				refused++
+			}
+		case "req":
+			attempts++
+		case "origin":
+			if l.What == "busy" {
+				f["origin_busy"]++
+				break
+			}
+			fetches++
+			objects[l.Object] = true
+		case "ready":
+			_ = ready.RecordValue(int64(max(1, l.Value)))
+		case "conn":
+			if l.What == "turned away" {
+				f["conns_turned_away"]++
+			}
+		case "lag":
+			f["lag_ms_max"] = max(f["lag_ms_max"], l.Value)
+		}
+	}
+	f["requests"] = requests
+	f["origin_fetches_per_object"] = over(fetches, float64(len(objects)))
+	f["ready_ms_p99"] = float64(ready.ValueAtQuantile(99))
+	f["served_share"] = min(1, over(firstServed, first))
+	f["served_share_all"] = min(1, over(servedAll, firstAll))
+	f["refused_share"] = over(refused, requests)
+	f["attempts_per_request"] = over(attempts, requests)
+	f["answer_ms_p50"] = float64(answers.ValueAtQuantile(50))
+	f["answer_ms_p99"] = float64(answers.ValueAtQuantile(99))
+	return f
+}
+
+func over(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// listFigures counts calls of the list service: how they crowd at the largest start of the fleet, and how many
+// a start takes.
+func (r *record) listFigures(f map[string]float64) {
+	var starts []line
+	calls := map[string][]float64{}
+	for _, l := range r.lines {
+		switch {
+		case l.Kind == "process" && l.What == "start":
+			starts = append(starts, l)
+		case l.Kind == "call":
+			f["list_calls"]++
+			switch l.What {
+			case "timed out":
+				f["list_timeouts"]++
+			}
+			// The line is written when the call ends; it came so much sooner.
+			calls[l.Director] = append(calls[l.Director], l.MS-l.Value)
+		}
+	}
+	var fleet []line // the largest start
+	for i := range starts {
+		n := i
+		for n < len(starts) && (n == i || starts[n].MS-starts[n-1].MS <= startGap) {
+			n++
+		}
+		if n-i > len(fleet) {
+			fleet = starts[i:n]
+		}
+	}
+	var first []float64
+	inStart := 0
+	for _, s := range starts {
+		within := slices.DeleteFunc(slices.Clone(calls[s.Who]), func(at float64) bool {
+			return at < s.MS || at > s.MS+callsSpan
+		})
+		inStart += len(within)
+		if len(within) > 0 && slices.Contains(fleet, s) {
+			first = append(first, slices.Min(within))
+		}
+	}
+	f["list_calls_per_start"] = over(float64(inStart), float64(len(starts)))
+	if len(first) < 2 {
+		return
+	}
+	slices.Sort(first)
+	span := max(leastSpan, first[len(first)-1]-first[0])
+	bins := make([]int, int(span/bin)+1)
+	for _, at := range first {
+		bins[int((at-first[0])/bin)]++
+	}
+	f["list_peak_ratio"] = float64(slices.Max(bins)) / (float64(len(first)) * bin / span)
+}
--- a/internal/pacing/list.go
+++ b/internal/pacing/list.go
@@ -107,7 +107,7 @@
 // Start is when to make the first call.
 func (c *ListCalls) Start(now Time) Time {
 	c.filled = now
-	return c.spend(now, c.place())
+	return c.spend(now, c.place(now))
 }
 
 // Move is when to go over to another service, on order of the operators: all directors hear it at once. The
@@ -115,7 +115,7 @@
 func (c *ListCalls) Move(now Time) Time {
 	c.breaks++
 	c.failures, c.good = 0, false
-	return c.spend(now, c.place())
+	return c.spend(now, c.place(now))
 }
 
 // Good notes a good line of the present stream.
@@ -143,10 +143,10 @@
 	switch {
 	case served && e == Silent: // what was lost in silence is gone from the time for the news
 		c.breaks++
-		return c.spend(now, min(c.place(), max(0, c.soon-c.b.Silence)))
+		return c.spend(now, min(c.place(now), max(0, c.soon-c.b.Silence)))
 	case served:
 		c.breaks++
-		return c.spend(now, c.place())
+		return c.spend(now, c.place(now))
 	case e == Refused:
 		return c.spend(now, c.jitter(c.window(c.soon/4, c.soon), 0))
 	}
@@ -154,13 +154,17 @@
 	return c.spend(now, c.jitter(c.window(c.soon, c.long), 0.5))
 }
 
-// place is our place in the spread: each director has a slot of its own, so that calls that fall due at one
-// moment everywhere make an even stream, and a random time within it, so that two with one number don't
-// collide for good. It turns with each break, lest one director always comes last.
-func (c *ListCalls) place() time.Duration {
+// place is how long it is to our place in the spread. The spread comes round by the clock, and each director has a
+// slot of its own in it: calls that fall due everywhere, at one moment or nearly so, make an even stream, however
+// long each process took to start or to notice. Within the slot the place is random, so that two with one number
+// don't collide for good; it turns with each break, lest one director always comes last.
+func (c *ListCalls) place(now Time) time.Duration {
+	if c.spread == 0 {
+		return 0
+	}
 	n := float64(c.b.Directors)
 	_, at := math.Modf((float64(c.b.Me)+c.rng.Float64())/n + golden*float64(c.breaks))
-	return time.Duration(at * float64(c.spread))
+	return (time.Duration(at*float64(c.spread)) - now%c.spread + c.spread) % c.spread
 }
 
 // window grows with each failure, from first up to most.
