--- /dev/null
+++ b/internal/lab/fleet_test.go
@@ -0,0 +1,148 @@
+package lab
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"shaleyard/internal/labcheck"
+)
+
+// program builds the director once; each experiment starts it in numbers.
+func program(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "shaleyard")
+	build := exec.Command("go", "build", "-o", path, "shaleyard/cmd/shaleyard")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return path
+}
+
+// left are the processes whose configuration lies below a folder.
+func left(t *testing.T, dir string) (pids []string) {
+	t.Helper()
+	all, err := filepath.Glob("/proc/[0-9]*/environ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range all {
+		if text, err := os.ReadFile(f); err == nil && strings.Contains(string(text), "EDGE_CONFIG="+dir) {
+			pids = append(pids, f)
+		}
+	}
+	return pids
+}
+
+// Every experiment of the repository, with its own number of directors: whatever is broken between them, the
+// rules hold, its bounds are kept, and no process is left.
+func TestExperimentsKeepTheRules(t *testing.T) {
+	files, err := filepath.Glob("../../experiments/*.toml")
+	if err != nil || len(files) < 8 {
+		t.Fatalf("%d experiments, %v", len(files), err)
+	}
+	binary := program(t)
+	// Three at a time: more, and a small machine keeps no times.
+	places := make(chan struct{}, 3)
+	t.Run("", func(t *testing.T) {
+		for _, file := range files {
+			t.Run(strings.TrimSuffix(filepath.Base(file), ".toml"), func(t *testing.T) {
+				t.Parallel()
+				places <- struct{}{}
+				defer func() { <-places }()
+				x, err := Load(file)
+				if err != nil {
+					t.Fatal(err)
+				}
+				dir := t.TempDir()
+				if err := Run(context.Background(), x, Options{Binary: binary, Dir: dir}); err != nil {
+					t.Fatal(err)
+				}
+				f, err := os.Open(filepath.Join(dir, "record.jsonl"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer f.Close()
+				v, err := labcheck.Check(f)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, b := range append(v.Broken, x.Judge(v.Figures, nil)...) {
+					t.Errorf("%s at %.0f ms, %s: %s", b.Rule, b.AtMS, b.Who, b.Detail)
+				}
+				if v.Figures["requests"] < 100 {
+					t.Errorf("%v requests: nothing was shown", v.Figures["requests"])
+				}
+				if pids := left(t, dir); len(pids) > 0 {
+					t.Errorf("left behind: %v", pids)
+				}
+			})
+		}
+	})
+}
+
+// An experiment that is called off ends soon, and ends all that it has started.
+func TestCalledOffRunLeavesNothing(t *testing.T) {
+	x, err := Parse("story.toml", []byte("directors = 5\nseconds = 300.0\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	ctx, cancel := context.WithCancel(context.Background())
+	begun := make(chan struct{}, 400)
+	done := make(chan error, 1)
+	go func() {
+		done <- Run(ctx, x, Options{Binary: program(t), Dir: dir, Progress: func(float64) { begun <- struct{}{} }})
+	}()
+	<-begun
+	if n := len(left(t, dir)); n != 5 {
+		t.Errorf("%d processes run, want 5", n)
+	}
+	cancel()
+	select {
+	case err := <-done:
+		if err == nil {
+			t.Error("a run that was called off is no success")
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("goes on")
+	}
+	if pids := left(t, dir); len(pids) > 0 {
+		t.Errorf("left behind: %v", pids)
+	}
+}
+
+// A bad experiment is an error that names the file, the line and the key, before anything starts.
+func TestBadExperimentsAreNamed(t *testing.T) {
+	for text, want := range map[string]string{
+		"directors = 4\nspeed = 3\n":                                  "x.toml:2: speed: no such key",
+		"[clients]\nzipf = 0.5\n":                                     "x.toml:2: clients.zipf: 0.5 is not within",
+		"directors = 4\n\n[[step]]\nat = 1.0\ndo = \"dance\"\n":       "x.toml:5: step[0].do: \"dance\"",
+		"[[step]]\nat = 1.0\ndo = \"cut\"\nlink = \"moon\"\n":         "x.toml:4: step[0].link: \"moon\"",
+		"[[step]]\ndo=\"kill\"\n[[step]]\ndo=\"kill\"\nshare = 1.5\n": "x.toml:5: step[1].share: 1.5",
+		"directors = \"many\"\n":                                      "x.toml:1: directors",
+		"[[bound]]\nfigure = \"luck\"\n":                              "x.toml:2: bound[0].figure: \"luck\"",
+		"[list]\nbegin = \"odd\"\n":                                   "x.toml:2: list.begin: \"odd\"",
+		"directors = 4\n[caches]\ncount = 0\n":                        "x.toml:3: caches.count: 0 is not within",
+		"[[step]]\nat = 99.0\ndo = \"kill\"\n":                        "x.toml:2: step[0].at: 99",
+		"directors = [":                                               "x.toml:1",
+		"[clients]\nrepayments = nan\n":                               "x.toml:2: clients.repayments: NaN",
+	} {
+		if _, err := Parse("x.toml", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: error %v, want %q", text, err, want)
+		}
+	}
+}
+
+func FuzzReadReply(f *testing.F) {
+	f.Add([]byte{0x80, 1, 0, 2, 0, 0, 0, 1, 'x', 0, 0, 0, 1, 12, 0, 0, 11, 0, 1, 0, 0, 0, 1, 'b', 2, 0, 3, 1, 0, 0})
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		if _, r, err := readReply(frame); err == nil && r.what == "" {
+			t.Error("an answer without a meaning was taken")
+		}
+	})
+}
