--- a/rules/rules.go
+++ b/rules/rules.go
@@ -57,7 +57,7 @@
 		return nil, err
 	}
 	s.fill()
-	d := &Router{s: s, rng: rand.New(rand.NewPCG(seed, 1)), servers: map[Host]*server{},
+	d := &Router{s: s, open: 1, rng: rand.New(rand.NewPCG(seed, 1)), servers: map[Host]*server{},
 		reqs: map[uint32]*request{}, tries: map[uint64]*attempt{},
 		cur: map[objectPart]*entry{}, prev: map[objectPart]*entry{},
 		purges: map[purgeKey]purge{}}
@@ -262,11 +262,14 @@
 		return true
 	}
 	limited := d.likelyFill(r, t) && !r.joins && !r.passOn
+	if limited && !r.drawn {
+		r.drawn, r.shut = true, d.rng.Float64() > d.opening()
+	}
 	full := false
 	for _, s := range d.upper {
 		switch {
 		case s.role == parent && !d.maySource(r, s):
-		case limited && d.full(&s.from, d.cost(r)):
+		case limited && (d.full(&s.from, d.cost(r)) || (r.shut && s.role == origin)):
 			full = true
 		case d.send(r, t, s):
 			return true
@@ -376,7 +379,7 @@
 		src.spent += work
 		src.from.out = append(src.from.out, a)
 		get.Source = src.Host
-		if src.role == edge || src.ejected {
+		if src.role == edge || src.ejected || (r.shut && src.role == parent) {
 			get.How |= SourceHolds
 		}
 	}
@@ -443,6 +446,8 @@
 	switch {
 	case o.Settled:
 		d.forget(r)
+	case r.shut && r.out == 0 && o.Result == Miss && o.Note == NoteSourceLacks && a.source != nil && a.source.role == parent:
+		d.end(r)
 	case r.out > 0:
 	case d.now >= r.GiveUpAt:
 		d.end(r)
@@ -652,6 +657,7 @@
 	if o.Result == Cancelled || o.Result == Moot {
 		return // says nothing
 	}
+	d.shield(a, o)
 	d.throttle(a, o)
 	d.judge(a, o)
 	if o.Result == OK || o.Result == TimedOut {
@@ -685,6 +691,36 @@
 	}
 }
 
+func (d *Router) opening() float64 {
+	d.open = min(1, d.open+0.1*(d.now-d.openAt).Seconds())
+	d.openAt = d.now
+	return d.open
+}
+
+func (d *Router) shield(a *attempt, o Outcome) {
+	if a.source == nil || a.source.role == edge || a.sent < d.cutAt {
+		return
+	}
+	target := math.Inf(1)
+	for _, c := range d.s.Services {
+		if c.Effect == "read_like" {
+			target = min(target, 0.7*c.Aim.Seconds())
+		}
+	}
+	open := d.opening()
+	switch {
+	case o.Note == NoteFilledByOrigin && o.Waited.Seconds() > target:
+		open *= max(0.3, target/o.Waited.Seconds())
+	case o.Note == NoteOriginFailed:
+		open *= 0.5
+	case o.Note == NoteSourceRefused:
+		open *= 0.7
+	default:
+		return
+	}
+	d.open, d.cutAt = max(0.05, open), d.now
+}
+
 // share is the part of its capacity that a server can give now.
 func (d *Router) share(s *server) float64 {
 	if s.cold == 0 || s.role == origin || d.now-s.cold > s.ramp {
--- a/rules/state.go
+++ b/rules/state.go
@@ -83,6 +83,7 @@
 	told            float64 // seconds of sending; 0: size not told
 	passOn          bool    // never kept
 	since           Time
+	drawn, shut     bool      // whether the shared source behind the parents may be asked was drawn; it may not
 	looked, joins   bool      // asked for what is held; a fill is under way to join
 	asked           bool      // masters were asked
 	copies          int       // second copies sent
@@ -138,5 +139,7 @@
 	turned, swept Time
 	logAt         Time
 	asking        []*request // waiting for far masters
+	open          float64    // part of the fills that may go on to the origin
+	openAt, cutAt Time       // when it was right; when it was last lowered
 	notZero       bool       // a lower-numbered router of our location was heard of
 }
