--- a/rules/rules.go
+++ b/rules/rules.go
@@ -692,7 +692,7 @@
 }
 
 func (d *Router) opening() float64 {
-	d.open = min(1, d.open+0.1*(d.now-d.openAt).Seconds())
+	d.open = min(1, d.open+0.05*(d.now-d.openAt).Seconds())
 	d.openAt = d.now
 	return d.open
 }
@@ -704,7 +704,7 @@
 	target := math.Inf(1)
 	for _, c := range d.s.Services {
 		if c.Effect == "read_like" {
-			target = min(target, 0.7*c.Aim.Seconds())
+			target = min(target, 0.35*c.Aim.Seconds())
 		}
 	}
 	open := d.opening()
