--- /dev/null
+++ b/internal/pacing/shield.go
@@ -0,0 +1,89 @@
+package pacing
+
+import (
+	"math"
+	"time"
+)
+
+// ShieldBounds is what a shield's target is derived from.
+type ShieldBounds struct {
+	// Aim is the shortest aim of the classes that may be shut out (settings: services[].aim).
+	Aim time.Duration
+}
+
+// Figures of the shield. Measured on the fixed test's join+mass (docs/cold-start.md).
+const (
+	waitLeast = 0.35 // part of the aim that a wait for the source may always take
+	waitMost  = 0.7  // and that it may take at most, however slow the source has always been
+	waitOver  = 1.4  // times its wait at its best that a source may keep us waiting
+	opensBy   = 0.05 // part that opens in a second: an overload of seconds is not tried again in each
+	openLeast = 0.05 // part that is always let through, or nothing would be learnt
+	lowersTo  = 0.3  // a queue that is seen lowers the part to this part of it: it has mostly grown since
+	bestAges  = 60.0 // seconds in which the best wait grows to e times itself: a belief that ages
+)
+
+// Shield decides which part of the fills may go on to a source that all directors share and none of them sees: the
+// origin, behind parents that may or may not hold an object. Each director has few answers of its own, and when
+// hundreds wait for the source at once, an answer is late by seconds before any of them has learnt of it. So the
+// wait that an answer tells is taken for what it is, a queue, and the part let through is lowered at once by as
+// much as the wait is too long; it opens again with time alone, slowly, as answers are few.
+//
+// Its decision is a part, not a number of places: a director that has one such fill out every other second has no
+// use for a limit on how many are out.
+type Shield struct {
+	b    ShieldBounds
+	open float64
+	at   Time // when open was right
+	cut  Time // when it was last lowered: what was sent before tells of the same queue again
+	// Waits in seconds: for which it was last lowered, and the shortest, which is forgotten slowly.
+	worst, best float64
+	aged        Time
+}
+
+// NewShield returns a shield that lets all through.
+func NewShield(b ShieldBounds) *Shield { return &Shield{b: b, open: 1, cut: math.MinInt64} }
+
+// Open is the part of the fills that may go on to the source.
+func (s *Shield) Open(now Time) float64 {
+	s.open = min(1, s.open+opensBy*(now-s.at).Seconds())
+	s.at = now
+	return s.open
+}
+
+// Waited takes the wait for the source's first byte that the answer to an attempt, sent at a time, told of.
+func (s *Shield) Waited(now, sent Time, wait time.Duration) {
+	w := max(wait.Seconds(), 1e-3)
+	if s.best == 0 || w < s.best {
+		s.best = w
+	} else {
+		s.best += s.best * (now - s.aged).Seconds() / bestAges
+	}
+	s.aged = now
+	s.take(now, sent, w)
+}
+
+// Waiting takes for how long an attempt that is still out has waited for the source, at least. Where each director
+// has little out and the queue is long, it is known from this long before an answer tells.
+func (s *Shield) Waiting(now, sent Time, wait time.Duration) { s.take(now, sent, wait.Seconds()) }
+
+// Failed takes a fill that the source, or what stands before it, turned away or never answered.
+func (s *Shield) Failed(now, sent Time) { s.take(now, sent, 2*s.target()) }
+
+// target is the wait, in seconds, over which a queue is taken to stand before the source.
+func (s *Shield) target() float64 {
+	aim := s.b.Aim.Seconds()
+	return min(max(waitLeast*aim, waitOver*s.best), waitMost*aim)
+}
+
+// take lowers the part for a wait that is too long. What was sent before it was last lowered stands in the same
+// queue: it counts only where that proves to be twice as long as was known.
+func (s *Shield) take(now, sent Time, wait float64) {
+	known := s.target()
+	if sent < s.cut {
+		known = 2 * s.worst
+	}
+	if wait > known {
+		s.open = max(openLeast, s.Open(now)*lowersTo)
+		s.cut, s.worst = now, wait
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -16,6 +16,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"shaleyard/internal/pacing"
 )
 
 // Tuned values. Everything else is derived from the settings or observed.
@@ -57,13 +59,16 @@
 		return nil, err
 	}
 	s.fill()
-	d := &Router{s: s, open: 1, rng: rand.New(rand.NewPCG(seed, 1)), servers: map[Host]*server{},
+	d := &Router{s: s, rng: rand.New(rand.NewPCG(seed, 1)), servers: map[Host]*server{},
 		reqs: map[uint32]*request{}, tries: map[uint64]*attempt{},
 		cur: map[objectPart]*entry{}, prev: map[objectPart]*entry{},
 		purges: map[purgeKey]purge{}}
+	shortest := s.Services[0].Aim
 	for _, c := range s.Services {
-		d.classes = append(d.classes, classStats{c.Aim.Seconds(), c.Aim.Seconds(), 1}) // at first, patient
+		d.classes = append(d.classes, classStats{c.Aim.Seconds(), c.Aim.Seconds()}) // at first, patient
+		shortest = min(shortest, c.Aim)
 	}
+	d.shield = pacing.NewShield(pacing.ShieldBounds{Aim: shortest})
 	return d, nil
 }
 
@@ -263,7 +268,7 @@
 	}
 	limited := d.likelyFill(r, t) && !r.joins && !r.passOn
 	if limited && !r.drawn {
-		r.drawn, r.shut = true, d.rng.Float64() > d.opening()
+		r.drawn, r.shut = true, d.rng.Float64() >= d.shield.Open(d.now)
 	}
 	full := false
 	for _, s := range d.upper {
@@ -446,7 +451,7 @@
 	switch {
 	case o.Settled:
 		d.forget(r)
-	case r.shut && r.out == 0 && o.Result == Miss && o.Note == NoteSourceLacks && a.source != nil && a.source.role == parent:
+	case r.shut && r.out == 0 && o.Note == NoteSourceLacks && a.source != nil && a.source.role == parent: // only the origin has it
 		d.end(r)
 	case r.out > 0:
 	case d.now >= r.GiveUpAt:
@@ -657,7 +662,13 @@
 	if o.Result == Cancelled || o.Result == Moot {
 		return // says nothing
 	}
-	d.shield(a, o)
+	switch {
+	case a.source == nil || a.source.role == edge:
+	case o.Note == NoteFilledByOrigin:
+		d.shield.Waited(d.now, a.sent, o.Waited)
+	case o.Note == NoteOriginFailed, o.Note == NoteSourceRefused, o.Result == TimedOut && t.heard > a.sent:
+		d.shield.Failed(d.now, a.sent)
+	}
 	d.throttle(a, o)
 	d.judge(a, o)
 	if o.Result == OK || o.Result == TimedOut {
@@ -673,13 +684,11 @@
 		d.waited += (o.Waited.Seconds() - d.waited) * learn
 	}
 	c := &d.classes[a.class]
-	c.seen++
-	weight := max(learn, 1/c.seen)
-	c.latency += (o.After.Seconds() - c.latency) * weight
+	c.latency += (o.After.Seconds() - c.latency) * learn
 	if r != nil && r.told > 0 {
-		c.work += (r.told - c.work) * weight
+		c.work += (r.told - c.work) * learn
 	} else if o.Note == NoteHit || o.Note == NoNote {
-		c.work += (o.After.Seconds() - c.work) * weight
+		c.work += (o.After.Seconds() - c.work) * learn
 	}
 	t.carried = t.carried*math.Exp(-float64(d.now-t.carriedAt)/float64(carryOver)) + a.work
 	t.carriedAt = d.now
@@ -691,36 +700,6 @@
 	}
 }
 
-func (d *Router) opening() float64 {
-	d.open = min(1, d.open+0.05*(d.now-d.openAt).Seconds())
-	d.openAt = d.now
-	return d.open
-}
-
-func (d *Router) shield(a *attempt, o Outcome) {
-	if a.source == nil || a.source.role == edge || a.sent < d.cutAt {
-		return
-	}
-	target := math.Inf(1)
-	for _, c := range d.s.Services {
-		if c.Effect == "read_like" {
-			target = min(target, 0.35*c.Aim.Seconds())
-		}
-	}
-	open := d.opening()
-	switch {
-	case o.Note == NoteFilledByOrigin && o.Waited.Seconds() > target:
-		open *= max(0.3, target/o.Waited.Seconds())
-	case o.Note == NoteOriginFailed:
-		open *= 0.5
-	case o.Note == NoteSourceRefused:
-		open *= 0.7
-	default:
-		return
-	}
-	d.open, d.cutAt = max(0.05, open), d.now
-}
-
 // share is the part of its capacity that a server can give now.
 func (d *Router) share(s *server) float64 {
 	if s.cold == 0 || s.role == origin || d.now-s.cold > s.ramp {
@@ -849,6 +828,9 @@
 			if d.now-a.sent > max(a.doubled, 2*a.expect) {
 				d.timed(a)
 			}
+			if a.fill && a.source.role != edge && s.heard > a.sent {
+				d.shield.Waiting(d.now, a.sent, d.now-a.sent-seconds(copyPace*a.told))
+			}
 			d.again(a)
 		}
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"shaleyard/internal/pacing"
 )
 
 // Types of what a router remembers. Nothing is computed or decided here.
@@ -83,7 +85,7 @@
 	told            float64 // seconds of sending; 0: size not told
 	passOn          bool    // never kept
 	since           Time
-	drawn, shut     bool      // whether the shared source behind the parents may be asked was drawn; it may not
+	drawn, shut     bool      // whether the origin may be asked was drawn; it may not
 	looked, joins   bool      // asked for what is held; a fill is under way to join
 	asked           bool      // masters were asked
 	copies          int       // second copies sent
@@ -115,8 +117,8 @@
 
 type purge struct{ made, told Time }
 
-// classStats are running means of a class, seconds: sending time, and time to an answer; and the samples in them.
-type classStats struct{ work, latency, seen float64 }
+// classStats are running means of a class, seconds: sending time, and time to an answer.
+type classStats struct{ work, latency float64 }
 
 // Router decides for one instance. It is not safe for concurrent use.
 type Router struct {
@@ -138,8 +140,7 @@
 	started       bool
 	turned, swept Time
 	logAt         Time
-	asking        []*request // waiting for far masters
-	open          float64    // part of the fills that may go on to the origin
-	openAt, cutAt Time       // when it was right; when it was last lowered
-	notZero       bool       // a lower-numbered router of our location was heard of
+	asking        []*request     // waiting for far masters
+	shield        *pacing.Shield // of the origin, against fills
+	notZero       bool           // a lower-numbered router of our location was heard of
 }
