--- a/internal/pacing/shield.go
+++ b/internal/pacing/shield.go
@@ -5,12 +5,6 @@
 	"time"
 )
 
-// ShieldBounds is what a shield's target is derived from.
-type ShieldBounds struct {
-	// Aim is the shortest aim of the classes that may be shut out (settings: services[].aim).
-	Aim time.Duration
-}
-
 // Figures of the shield. Measured on the fixed test's join+mass (docs/cold-start.md).
 const (
 	waitLeast = 0.35 // part of the aim that a wait for the source may always take
@@ -31,7 +25,7 @@
 // Its decision is a part, not a number of places: a director that has one such fill out every other second has no
 // use for a limit on how many are out.
 type Shield struct {
-	b    ShieldBounds
+	aim  float64 // seconds: the shortest of what it serves
 	open float64
 	at   Time // when open was right
 	cut  Time // when it was last lowered: what was sent before tells of the same queue again
@@ -41,7 +35,11 @@
 }
 
 // NewShield returns a shield that lets all through.
-func NewShield(b ShieldBounds) *Shield { return &Shield{b: b, open: 1, cut: math.MinInt64} }
+func NewShield() *Shield { return &Shield{aim: math.Inf(1), open: 1, cut: math.MinInt64} }
+
+// Serve tells of a class of requests that have to be answered within an aim: a wait for the source must leave the
+// class with the shortest one time for the rest.
+func (s *Shield) Serve(aim time.Duration) { s.aim = min(s.aim, aim.Seconds()) }
 
 // Open is the part of the fills that may go on to the source.
 func (s *Shield) Open(now Time) float64 {
@@ -71,8 +69,7 @@
 
 // target is the wait, in seconds, over which a queue is taken to stand before the source.
 func (s *Shield) target() float64 {
-	aim := s.b.Aim.Seconds()
-	return min(max(waitLeast*aim, waitOver*s.best), waitMost*aim)
+	return min(max(waitLeast*s.aim, waitOver*s.best), waitMost*s.aim)
 }
 
 // take lowers the part for a wait that is too long. What was sent before it was last lowered stands in the same
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,12 +1,8 @@
 package rules
 
-// All decisions of shaleyard. The interface (settings, events, actions) is in rules/api.go; the types of
-// what a router remembers are in state.go.
-//
-// Ordinary path (docs/design.md): a rendezvous hash of the object picks the edge cache; a bounded, ageing
-// table tells which caches of the location hold the object; the other holder is the fill source and gives
-// only what it holds; else the parent hashed among the hub's; a miss moves up a tier, at last to the
-// origin. Every attempt leaves through send, every request ends through end.
+// All decisions of shaleyard; docs/design.md tells the ordinary path. The interface (settings, events, actions)
+// is in rules/api.go; the types of what a router remembers are in state.go. Every attempt leaves through send,
+// every request ends through end.
 
 import (
 	"cmp"
@@ -62,13 +58,11 @@
 	d := &Router{s: s, rng: rand.New(rand.NewPCG(seed, 1)), servers: map[Host]*server{},
 		reqs: map[uint32]*request{}, tries: map[uint64]*attempt{},
 		cur: map[objectPart]*entry{}, prev: map[objectPart]*entry{},
-		purges: map[purgeKey]purge{}}
-	shortest := s.Services[0].Aim
+		purges: map[purgeKey]purge{}, shield: pacing.NewShield()}
 	for _, c := range s.Services {
 		d.classes = append(d.classes, classStats{c.Aim.Seconds(), c.Aim.Seconds()}) // at first, patient
-		shortest = min(shortest, c.Aim)
+		d.shield.Serve(c.Aim)
 	}
-	d.shield = pacing.NewShield(pacing.ShieldBounds{Aim: shortest})
 	return d, nil
 }
 
@@ -114,7 +108,8 @@
 		case e.Token == subscribeTimer:
 			d.do(Subscribe{On: true})
 		case r != nil && r.waiting:
-			r.waiting, r.avoid, r.tier = false, r.avoid[:0], min(r.tier, parent)
+			r.waiting, r.drawn, r.shut = false, false, false
+			r.avoid, r.tier = r.avoid[:0], min(r.tier, parent)
 			d.advance(r)
 		}
 	case PeerMessage:
@@ -212,7 +207,7 @@
 	case len(r.tries) >= d.s.Ceilings.MaxAttempts || d.now >= r.GiveUpAt:
 		d.end(r)
 	case d.route(r):
-	case !d.maySend(r, nil) || d.now-r.since > d.s.Services[r.Class].Aim/2:
+	case !d.maySend(r, nil) || d.now-r.since > d.s.Services[r.Class].Aim/2 || (r.shut && r.tier == origin):
 		d.end(r)
 	default:
 		d.hold(r)
@@ -252,39 +247,36 @@
 		case last == parent && (!free(t) || t.to.load > spillUpTo*t.to.limit):
 		case d.fill(r, t):
 			return true
-		case r.looked:
-			return false
 		}
 	}
 	return d.bypass(r, last)
 }
 
 // fill asks a cache, with the source that the tiers give: sibling, parent, origin. A source that is at its
-// limit is passed over; where all are, the cache is asked once for what it holds, as others' traffic may
-// have filled it, and then the request waits, or joins a fill that is under way.
+// limit is passed over; where all are, or the origin is crowded (pacing.Shield), parents give only what they
+// hold, so that hits that others' traffic has made are not refused with the fills.
 func (d *Router) fill(r *request, t *server) bool {
 	if s := d.sibling(r, t); (s != nil && d.send(r, t, s)) || d.askMasters(r) {
 		return true
 	}
-	limited := d.likelyFill(r, t) && !r.joins && !r.passOn
+	limited, full := d.likelyFill(r, t) && !r.passOn, false
 	if limited && !r.drawn {
 		r.drawn, r.shut = true, d.rng.Float64() >= d.shield.Open(d.now)
 	}
-	full := false
 	for _, s := range d.upper {
 		switch {
 		case s.role == parent && !d.maySource(r, s):
-		case limited && (d.full(&s.from, d.cost(r)) || (r.shut && s.role == origin)):
+		case limited && ((r.shut && s.role == origin) || (!r.shut && d.full(&s.from, d.cost(r)))):
 			full = true
 		case d.send(r, t, s):
 			return true
 		}
 	}
-	if !full || r.looked {
+	if !full || r.shut {
 		return false
 	}
-	r.looked = true
-	return d.send(r, t, nil)
+	r.shut = true
+	return d.fill(r, t)
 }
 
 // bypass goes straight to a parent, or up to the origin, where the site allows it and their limits do. It
@@ -292,13 +284,12 @@
 // the links of a location mostly have room for it. Harm: nothing is kept, and bytes of the links are used.
 func (d *Router) bypass(r *request, last role) bool {
 	for _, s := range d.upper {
+		master := d.upper[len(d.upper)-1]
 		switch {
-		case !d.s.Family.BypassAllowed || s.role > last:
-		case s.role == parent && d.maySource(r, s) && !d.full(&s.from, 2*d.cost(r)):
-			master := d.upper[len(d.upper)-1]
-			if master.role == origin && d.send(r, s, master) {
-				return true
-			}
+		case !d.s.Family.BypassAllowed || s.role > last || (r.shut && !r.passOn):
+		case s.role == parent && master.role == origin && d.maySource(r, s) &&
+			!d.full(&s.from, 2*d.cost(r)) && d.send(r, s, master):
+			return true
 		case s.role == origin && (r.passOn || !d.full(&s.from, d.cost(r))) && d.send(r, s, nil):
 			return true
 		}
@@ -451,8 +442,6 @@
 	switch {
 	case o.Settled:
 		d.forget(r)
-	case r.shut && r.out == 0 && o.Note == NoteSourceLacks && a.source != nil && a.source.role == parent: // only the origin has it
-		d.end(r)
 	case r.out > 0:
 	case d.now >= r.GiveUpAt:
 		d.end(r)
@@ -484,11 +473,6 @@
 	switch o.Result {
 	case Errored, TimedOut, ConnectFailed, Reset:
 		r.avoid = append(r.avoid, a.target)
-	case Miss:
-		if src == nil && r.looked && !a.look {
-			r.joins = o.Note == NoteJoined && d.s.Family.MergesFills // to join a fill under way costs nothing
-			return !r.joins
-		}
 	}
 	return full
 }
@@ -586,11 +570,10 @@
 }
 
 // throttle keeps the limits of our work out. A limit belongs to what was late or refused: a hit's to the
-// cache, a fill's to its source; work done in time near it raises it. What is beyond takes another source
-// or waits, and is refused once it could hardly be in time: a crowd in which all are late serves nobody.
-// All that are late in one crowd lower it together to a part of the load beside which they would have been
-// in time, no further: else one crowd would shut a cache for seconds. Guards against overload, jams of
-// fills, slow sources and slow caches. Harm: where sizes are not told, large ones look late.
+// cache, a fill's to its source; work done in time near it raises it. What is beyond takes another source or
+// waits, and is refused once it could hardly be in time. All that are late in one crowd lower it together to
+// a part of the load beside which they would have been in time, lest one crowd shut a cache for seconds.
+// Guards against overload, slow sources and caches. Harm: where no sizes are told, large ones look late.
 func (d *Router) throttle(a *attempt, o Outcome) {
 	c := &d.s.Services[a.class]
 	t, s := blamed(a)
@@ -662,11 +645,11 @@
 	if o.Result == Cancelled || o.Result == Moot {
 		return // says nothing
 	}
-	switch {
-	case a.source == nil || a.source.role == edge:
-	case o.Note == NoteFilledByOrigin:
+	switch fill := a.source != nil && a.source.role != edge; {
+	case fill && o.Note == NoteFilledByOrigin:
 		d.shield.Waited(d.now, a.sent, o.Waited)
-	case o.Note == NoteOriginFailed, o.Note == NoteSourceRefused, o.Result == TimedOut && t.heard > a.sent:
+	case fill && (o.Note == NoteOriginFailed || o.Note == NoteSourceRefused),
+		fill && o.Result == TimedOut && t.heard > a.sent:
 		d.shield.Failed(d.now, a.sent)
 	}
 	d.throttle(a, o)
--- a/rules/state.go
+++ b/rules/state.go
@@ -86,7 +86,6 @@
 	passOn          bool    // never kept
 	since           Time
 	drawn, shut     bool      // whether the origin may be asked was drawn; it may not
-	looked, joins   bool      // asked for what is held; a fill is under way to join
 	asked           bool      // masters were asked
 	copies          int       // second copies sent
 	far             Host      // the cache of another location that a master named
