--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,8 +1,8 @@
 package rules
 
-// All decisions of shaleyard; docs/design.md tells the ordinary path. The interface (settings, events, actions)
-// is in rules/api.go; the types of what a router remembers are in state.go. Every attempt leaves through send,
-// every request ends through end.
+// All decisions of shaleyard; docs/design.md tells the ordinary path. The interface (settings, events and
+// actions) is in rules/api.go; the types of what a router remembers are in state.go. Every attempt leaves
+// through send, every request ends through end.
 
 import (
 	"cmp"
