Keep most fills from a crowded origin: a shield from the waits that answers tell

The limits of rules blamed the parent, and a director with a third of such a fill out has no use for a limit on how many.

Change: pacing.Shield lets a part of the fills go on to the origin, lowered for each queue that a wait, a failure or an attempt still out tells of, opened by time; both by the fleet's size, and a wait is too long by the usual one and its deviation. The others ask their parent for what it holds, and what it lacks is refused at once, with cooldown. Writes are never kept from the origin.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -58,7 +58,7 @@
 	d := &Router{s: s, rng: rand.New(rand.NewPCG(seed, 1)), servers: map[Host]*server{},
 		reqs: map[uint32]*request{}, tries: map[uint64]*attempt{},
 		cur: map[objectPart]*entry{}, prev: map[objectPart]*entry{},
-		purges: map[purgeKey]purge{}, shield: pacing.NewShield()}
+		purges: map[purgeKey]purge{}, shield: pacing.NewShield(s.Balancers)}
 	for _, c := range s.Services {
 		d.classes = append(d.classes, classStats{c.Aim.Seconds(), c.Aim.Seconds()}) // at first, patient
 		d.shield.Serve(c.Aim)
@@ -207,7 +207,7 @@
 	case len(r.tries) >= d.s.Ceilings.MaxAttempts || d.now >= r.GiveUpAt:
 		d.end(r)
 	case d.route(r):
-	case !d.maySend(r, nil) || d.now-r.since > d.s.Services[r.Class].Aim/2 || (r.shut && r.tier == origin):
+	case !d.maySend(r, nil) || d.now-r.since > d.s.Services[r.Class].Aim/2, r.shut && r.tier == origin:
 		d.end(r)
 	default:
 		d.hold(r)
@@ -247,14 +247,17 @@
 		case last == parent && (!free(t) || t.to.load > spillUpTo*t.to.limit):
 		case d.fill(r, t):
 			return true
+		case r.looked:
+			return false
 		}
 	}
 	return d.bypass(r, last)
 }
 
 // fill asks a cache, with the source that the tiers give: sibling, parent, origin. A source that is at its
-// limit is passed over; where all are, or the origin is crowded (pacing.Shield), parents give only what they
-// hold, so that hits that others' traffic has made are not refused with the fills.
+// limit is passed over; where all are, the cache is asked once for what it holds, as others' traffic may have
+// filled it, and then the request waits. Where the origin is crowded (pacing.Shield), a part of the requests
+// asks parents for what they hold, and is refused what they lack.
 func (d *Router) fill(r *request, t *server) bool {
 	if s := d.sibling(r, t); (s != nil && d.send(r, t, s)) || d.askMasters(r) {
 		return true
@@ -266,17 +269,17 @@
 	for _, s := range d.upper {
 		switch {
 		case s.role == parent && !d.maySource(r, s):
-		case limited && ((r.shut && s.role == origin) || (!r.shut && d.full(&s.from, d.cost(r)))):
+		case limited && (d.full(&s.from, d.cost(r)) || (r.shut && s.role == origin)):
 			full = true
 		case d.send(r, t, s):
 			return true
 		}
 	}
-	if !full || r.shut {
+	if !full || r.looked || r.shut {
 		return false
 	}
-	r.shut = true
-	return d.fill(r, t)
+	r.looked = true
+	return d.send(r, t, nil)
 }
 
 // bypass goes straight to a parent, or up to the origin, where the site allows it and their limits do. It
@@ -333,12 +336,9 @@
 	if len(r.tries) >= d.s.Ceilings.MaxAttempts || d.now >= r.GiveUpAt || r.stream || !d.maySend(r, t) {
 		return false
 	}
-	if (r.out > 0 && !d.s.Ceilings.SecondCopies) ||
-		!t.listed || t.State != Ready || (src != nil && (!src.listed || src.State != Ready)) {
-		return false
-	}
 	work := d.cost(r)
-	if !d.affordable(t, work) || !d.affordable(src, work) {
+	if (r.out > 0 && !d.s.Ceilings.SecondCopies) || !t.listed || t.State != Ready || !d.affordable(t, work) ||
+		(src != nil && (!src.listed || src.State != Ready)) || !d.affordable(src, work) {
 		return false
 	}
 	t.spent += work
@@ -473,6 +473,8 @@
 	switch o.Result {
 	case Errored, TimedOut, ConnectFailed, Reset:
 		r.avoid = append(r.avoid, a.target)
+	case Miss:
+		return src == nil && r.looked && !a.look
 	}
 	return full
 }
@@ -857,10 +859,7 @@
 
 // use counts a use of the object and returns what the table says of it.
 func (d *Router) use(k objectPart) *entry {
-	e := cmp.Or(d.cur[k], d.prev[k])
-	if e == nil {
-		e = &entry{}
-	}
+	e := cmp.Or(d.cur[k], d.prev[k], &entry{})
 	e.uses++
 	if len(d.cur) >= tableSize {
 		d.turn()
--- a/rules/state.go
+++ b/rules/state.go
@@ -85,6 +85,7 @@
 	told            float64 // seconds of sending; 0: size not told
 	passOn          bool    // never kept
 	since           Time
+	looked          bool      // asked for what is held alone
 	drawn, shut     bool      // whether the origin may be asked was drawn; it may not
 	asked           bool      // masters were asked
 	copies          int       // second copies sent
