Log one JSON object an event by zap, and take an operators' file, checked by shaleyard check

Need: what hundreds of directors did is counted from their logs, which were free text; the bounds of the new pacing were fixed in the code.

Change: zap writes one object a line with director, member and cause; deploy/shaleyard.toml, named by SHALEYARD_CONFIG, sets the list's and the pause's times (strict; an error names file, line and key, and ends the start with status 2). 'shaleyard check FILE' (kong) checks one; without words the program is the director that run starts, without a file it runs by the defaults, which the file in deploy/ repeats and a test holds against them.

--- a/cmd/shaleyard/main.go
+++ b/cmd/shaleyard/main.go
@@ -4,10 +4,9 @@
 package main
 
 import (
-	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
-	"log"
 	"math"
 	"os"
 	"os/signal"
@@ -17,6 +16,9 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
 	"shaleyard/internal/buffer"
 	"shaleyard/internal/caches"
 	"shaleyard/internal/clients"
@@ -29,15 +31,29 @@
 )
 
 func main() {
-	if err := run(os.Getenv, os.Stderr); err != nil {
+	if len(os.Args) > 1 {
+		os.Exit(command(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	err := run(os.Getenv, os.Stderr)
+	var bad badOperator
+	switch {
+	case errors.As(err, &bad):
+		fmt.Fprintln(os.Stderr, "shaleyard:", err)
+		os.Exit(2)
+	case err != nil:
 		fmt.Fprintln(os.Stderr, "shaleyard:", err)
 		os.Exit(1)
 	}
 }
 
+// badOperator is an operators' file that can't be used: the program ends with status 2 before anything starts.
+type badOperator struct{ error }
+
+func (e badOperator) Unwrap() error { return e.error }
+
 // program is the parts, put together.
 type program struct {
-	log      *log.Logger
+	log      *zap.Logger
 	config   *config.Config
 	limits   *config.Limits
 	agenda   director.Agenda
@@ -75,7 +91,20 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	load := func() (*config.Config, error) { return config.Load(getenv, files.Cur) }
+	operator := &config.Operator{}
+	if path := getenv("SHALEYARD_CONFIG"); path != "" {
+		var err error
+		if operator, err = config.LoadOperator(path); err != nil {
+			return badOperator{fmt.Errorf("SHALEYARD_CONFIG: %w", err)}
+		}
+	}
+	load := func() (*config.Config, error) {
+		c, err := config.Load(getenv, files.Cur)
+		if err == nil {
+			operator.Apply(&c.Limits)
+		}
+		return c, err
+	}
 	c, err := load()
 	if err != nil {
 		return err
@@ -84,7 +113,7 @@
 	// One more than the cores: the loop sits in the kernel's wait, and timers and dials must not wait for
 	// the runtime to notice that.
 	runtime.GOMAXPROCS(int(math.Ceil(c.Limits.Cores)) + 1)
-	p, err := assemble(c, logTo)
+	p, err := assemble(c, newLogger(logTo, operator.Log.Level, c.Name))
 	if err != nil {
 		return err
 	}
@@ -93,8 +122,8 @@
 	}
 	c.Known = config.Known{} // replayed; it would take up memory for good
 	p.loop.Boot = func() {
-		p.log.Printf("%s listens on %s: %d descriptors, %d MB", c.Name, p.loop.Address(),
-			c.Limits.Descriptors, c.Limits.MemoryBytes>>20)
+		p.log.Info("listens on "+p.loop.Address(), zap.Int("descriptors", c.Limits.Descriptors),
+			zap.Int64("memory_mb", c.Limits.MemoryBytes>>20))
 		p.boot()
 		go p.obey(signals, load)
 	}
@@ -103,26 +132,39 @@
 	return err
 }
 
-func assemble(c *config.Config, logTo io.Writer) (*program, error) {
-	p := &program{log: log.New(logTo, "", log.LstdFlags|log.Lmicroseconds), config: c,
-		limits: &c.Limits}
+// newLogger writes one JSON object a line. Nothing is buffered: a director may be killed at any moment, and its last
+// line is the one that is wanted.
+func newLogger(to io.Writer, level, name string) *zap.Logger {
+	at, err := zapcore.ParseLevel(level)
+	if level == "" || err != nil {
+		at = zapcore.InfoLevel
+	}
+	form := zap.NewProductionEncoderConfig()
+	form.EncodeTime = zapcore.ISO8601TimeEncoder
+	form.EncodeDuration = zapcore.StringDurationEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(form), zapcore.Lock(zapcore.AddSync(to)), at)
+	return zap.New(core).With(zap.String("director", name))
+}
+
+func assemble(c *config.Config, logger *zap.Logger) (*program, error) {
+	p := &program{log: logger, config: c, limits: &c.Limits}
 	l, s := p.limits, &c.Settings
 	p.pool = buffer.NewPool(l.BufferSize, l.BufferCount)
 	var err error
-	p.director, err = director.New(s, c.Seed, l, &p.agenda, p.clock.now, p.log.Printf)
+	p.director, err = director.New(s, c.Seed, l, &p.agenda, p.clock.now, p.log)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	p.loop = &loop.Loop{Agenda: &p.agenda, Now: p.clock.now, Front: front{p}, Logf: p.log.Printf,
+	p.loop = &loop.Loop{Agenda: &p.agenda, Now: p.clock.now, Front: front{p}, Logf: p.log.Sugar().Warnf,
 		Rejected: p.reject, Inherited: c.Inherited, PauseLimit: l.PauseLimit, Settle: l.PauseSettle,
 		Paused: p.paused, Settled: p.settled}
-	p.fleet = caches.NewFleet(l, s, p.pool, p.loop, p.director, &p.agenda, p.clock.now, p.log.Printf)
+	p.fleet = caches.NewFleet(l, s, p.pool, p.loop, p.director, &p.agenda, p.clock.now, p.log)
 	p.director.Attach(p.fleet)
 	p.clients = clients.NewServer(l, s, p.pool, p.director, &p.agenda, p.clock.now)
 	p.clients.Ready = p.ready
 	calls := pacing.NewListCalls(pacing.ListBounds{Directors: s.Balancers, Me: int(s.Me), Heed: l.FeedHeed,
 		Purge: l.FeedPurge, Late: l.FeedLate, Silence: l.FeedSilence, Call: l.FeedCall, Least: l.FeedRetry}, c.Seed)
-	p.feed = feed.New(l, s, c.Feed, calls, p.loop, p.director, &p.agenda, p.clock.now, p.log.Printf)
+	p.feed = feed.New(l, s, c.Feed, calls, p.loop, p.director, &p.agenda, p.clock.now, p.log)
 	return p, nil
 }
 
@@ -163,13 +205,13 @@
 	}
 	if err != nil {
 		p.reloadsFailed++
-		p.log.Printf("configuration kept as it was: %v", err)
+		p.log.Warn("configuration kept as it was", zap.Error(err))
 		return
 	}
 	p.reloads++
-	p.log.Printf("configuration read anew: feed at %s", c.Feed)
+	p.log.Info("configuration read anew", zap.String("feed", c.Feed))
 	if c.Limits != p.config.Limits || !reflect.DeepEqual(c.Settings, p.config.Settings) {
-		p.log.Printf("configuration: changed limits and settings wait for a restart")
+		p.log.Info("changed limits and settings wait for a restart")
 	}
 	p.config.Feed = c.Feed
 	p.feed.Redirect(c.Feed)
@@ -196,7 +238,7 @@
 // may have drained, an object been purged, and both count as told.
 func (p *program) paused(gap time.Duration) {
 	p.pauses++
-	p.log.Printf("paused for %v with %d requests open: reading the news first", gap.Round(time.Millisecond), p.director.Open())
+	p.log.Warn("paused: reading the news first", zap.Duration("for", gap), zap.Int("open", p.director.Open()))
 	p.director.Hold()
 	p.feed.Paused()
 }
@@ -209,7 +251,7 @@
 	p.rejected++
 	if now := p.clock.now(); now >= p.rejectLogAt {
 		p.rejectLogAt = now + time.Second
-		p.log.Printf("connection closed, %d so far: %v", p.rejected, reason)
+		p.log.Info("connection closed for what came on it", zap.Uint64("so_far", p.rejected), zap.NamedError("cause", reason))
 	}
 }
 
@@ -220,7 +262,7 @@
 		return
 	}
 	p.stopping = p.clock.now()
-	p.log.Printf("stopping: %d requests open", p.director.Open())
+	p.log.Info("stopping", zap.Int("open", p.director.Open()))
 	p.agenda.At(p.stopping+p.limits.DrainAccept, p.drained)
 }
 
@@ -235,15 +277,10 @@
 
 // report writes all counters as one line.
 func (p *program) report() {
-	text, err := json.Marshal(map[string]any{
+	p.log.Info("counters", zap.Any("counters", map[string]any{
 		"clients": p.clients.Counters, "director": p.director.Counters, "caches": p.fleet.Counters,
 		"feed": p.feed.Counters, "rejected": p.rejected, "pauses": p.pauses, "reloads": p.reloads,
 		"reloads_failed": p.reloadsFailed, "open": p.director.Open(),
 		"client_conns": p.clients.Conns(), "peer_conns": p.fleet.Conns(), "buffers": p.pool.Lent(),
-	})
-	if err != nil {
-		p.log.Printf("counters: %v", err)
-		return
-	}
-	p.log.Printf("counters %s", text)
+	}))
 }
--- a/cmd/shaleyard/stories_test.go
+++ b/cmd/shaleyard/stories_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"log"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -73,7 +72,7 @@
 	if change != nil {
 		change(&c.Limits)
 	}
-	if s.p, err = assemble(c, logTo); err != nil {
+	if s.p, err = assemble(c, newLogger(logTo, "", c.Name)); err != nil {
 		t.Fatal(err)
 	}
 	if err := s.p.feed.Replay(c.Known); err != nil {
@@ -296,6 +295,7 @@
 	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n}); err != nil {
 		panic(err)
 	}
+	os.Args = os.Args[:1]
 	main()
 }
 
@@ -322,7 +322,7 @@
 	t.Cleanup(func() { c.Process.Kill() })
 	c.lines = bufio.NewScanner(log)
 	_, rest, _ := strings.Cut(c.logged("listens on"), "listens on ")
-	c.address, _, _ = strings.Cut(rest, ": ")
+	c.address, _, _ = strings.Cut(rest, `"`)
 	return c
 }
 
@@ -409,7 +409,7 @@
 
 func TestRejectionsAreLoggedSparingly(t *testing.T) {
 	var text strings.Builder
-	p := &program{log: log.New(&text, "", 0)}
+	p := &program{log: newLogger(&text, "", "n1")}
 	p.clock.last = 1 << 62 // a clock that stands
 	for range 100 {
 		p.reject(io.ErrUnexpectedEOF)
@@ -501,7 +501,7 @@
 	for seen := 0; seen < 2; {
 		select {
 		case line := <-logged:
-			if strings.Contains(line, "counters {") {
+			if strings.Contains(line, `"counters":{`) {
 				seen++
 			}
 		case <-late:
--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	"shaleyard/internal/buffer"
 	"shaleyard/internal/config"
 	"shaleyard/internal/director"
@@ -43,7 +45,7 @@
 	ender  Ender
 	agenda *director.Agenda
 	now    func() rules.Time
-	logf   func(string, ...any)
+	log    *zap.Logger
 	peers  map[rules.Host]*peer
 	calls  map[director.Handle]*call
 	conns  *director.Table[*conn]
@@ -101,17 +103,17 @@
 
 // NewFleet returns a fleet without members. Attempts' ends go to the ender.
 func NewFleet(l *config.Limits, s *rules.Settings, pool *buffer.Pool, d loop.Dialer, e Ender, a *director.Agenda,
-	now func() rules.Time, logf func(string, ...any)) *Fleet {
-	return &Fleet{limits: l, fields: s.Report.Fields, pool: pool, dialer: d, ender: e, agenda: a, now: now, logf: logf,
+	now func() rules.Time, log *zap.Logger) *Fleet {
+	return &Fleet{limits: l, fields: s.Report.Fields, pool: pool, dialer: d, ender: e, agenda: a, now: now, log: log,
 		keep: l.PeerIdle, peers: map[rules.Host]*peer{}, calls: map[director.Handle]*call{},
 		conns: director.NewTable[*conn](l.PeerConns)}
 }
 
-// log writes a line on a peer, at most one a second.
-func (f *Fleet) log(p *peer, format string, a ...any) {
+// note writes a line on a peer, at most one a second.
+func (f *Fleet) note(p *peer, what string, fields ...zap.Field) {
 	if now := f.now(); now >= p.logAt {
 		p.logAt = now + time.Second
-		f.logf("%s at %s: %s", p.name, p.address, fmt.Sprintf(format, a...))
+		f.log.With(zap.String("member", p.name), zap.String("address", p.address)).Info(what, fields...)
 	}
 }
 
@@ -402,7 +404,7 @@
 func (c *conn) Failed(err error) {
 	c.f.files -= 2
 	c.f.Counters.DialsFailed++
-	c.f.log(c.p, "connect failed with %d attempts waiting: %v", len(c.open), err)
+	c.f.note(c.p, "connect failed", zap.Int("attempts_waiting", len(c.open)), zap.NamedError("cause", err))
 	line := c.line
 	c.line, c.spent = nil, true
 	for _, k := range line {
@@ -447,8 +449,8 @@
 	if !c.closed {
 		c.f.Counters.Closed++
 		if len(c.open) > 0 {
-			c.f.log(c.p, "connection lost after %v and %d answers with %d attempts out", c.f.now()-c.up, c.served,
-				len(c.open))
+			c.f.note(c.p, "connection lost", zap.Duration("after", c.f.now()-c.up), zap.Int("answers", c.served),
+				zap.Int("attempts_out", len(c.open)))
 		}
 		if !c.spoilt {
 			c.f.crossed(c)
--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
 
 	"shaleyard/internal/buffer"
 	"shaleyard/internal/config"
@@ -38,7 +39,7 @@
 	l := &config.Limits{PeerConns: 8, StreamsPerConn: 2, PeerIdle: 10 * time.Second, PeerKeepLeast: 50 * time.Millisecond, PeerGhost: 5 * time.Second, PeerSilence: time.Second, PeerBacklog: 1000,
 		AnswerBody: 100, AnswerFields: 100}
 	s := &rules.Settings{Report: rules.ReportSettings{Fields: []string{"active", "x1"}}}
-	b.f = NewFleet(l, s, buffer.NewPool(64, 64), b, b, &b.agenda, func() rules.Time { return b.clock }, func(string, ...any) {})
+	b.f = NewFleet(l, s, buffer.NewPool(64, 64), b, b, &b.agenda, func() rules.Time { return b.clock }, zap.NewNop())
 	b.f.Join(1, "c1", "a", 0)
 	return b
 }
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -11,6 +11,8 @@
 	"hash/fnv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"shaleyard/internal/buffer"
 	"shaleyard/internal/config"
 	"shaleyard/rules"
@@ -129,7 +131,7 @@
 	peers    Peers
 	agenda   *Agenda
 	now      func() rules.Time
-	logf     func(format string, a ...any)
+	log      *zap.Logger
 
 	requests *Table[*request]
 	attempts *Table[*attempt]
@@ -167,12 +169,12 @@
 
 // New returns a director for the settings, within the limits.
 func New(s *rules.Settings, seed uint64, l *config.Limits, agenda *Agenda, now func() rules.Time,
-	logf func(string, ...any)) (*Director, error) {
+	log *zap.Logger) (*Director, error) {
 	r, err := rules.New(*s, seed)
 	if err != nil {
 		return nil, err
 	}
-	return &Director{router: r, settings: s, limits: l, agenda: agenda, now: now, logf: logf,
+	return &Director{router: r, settings: s, limits: l, agenda: agenda, now: now, log: log,
 		requests: NewTable[*request](l.OpenRequests), attempts: NewTable[*attempt](maxSlots),
 		names: map[rules.Host]string{}}, nil
 }
@@ -196,7 +198,7 @@
 	// The module ends each request by its time; this only guards the rule of one answer against a fault.
 	d.agenda.Set(&r.overdue, r.giveUp+d.limits.Overdue, func() {
 		d.Counters.Overdue++
-		d.logf("request %s overdue: failed by the guard", r.Ref)
+		d.log.Error("request overdue: failed by the guard", zap.String("ref", r.Ref))
 		d.answer(r, Answer{Verdict: Failed})
 		d.post(event{rules.Expired{ID: uint32(h)}, r})
 	})
@@ -230,7 +232,7 @@
 	for i, e := range list {
 		d.Counters.MemberEntries++
 		if !full && i < mostLogged { // the news of a release, not the list of a start
-			d.logf("member %s at %s: %v", e.Name, e.Address, e.State)
+			d.log.Info("member", zap.String("member", e.Name), zap.String("address", e.Address), zap.Uint8("state", uint8(e.State)))
 		}
 		e.Host = hostOf(e.Name)
 		seen[e.Host] = true
@@ -345,7 +347,7 @@
 	case rules.SetTimer:
 		d.agenda.At(a.At, func() { d.post(event{ev: rules.Timer{Token: a.Token}}) })
 	case rules.Log:
-		d.logf("%s", a.Text)
+		d.log.Info(a.Text)
 	default: // probes, peer messages and discovery calls: this deployment has none of them
 		d.Counters.UnknownActions++
 	}
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
 
 	"shaleyard/internal/buffer"
 	"shaleyard/internal/config"
@@ -59,7 +60,7 @@
 		Ceilings: rules.Ceilings{Cancel: true, MaxAttempts: 3},
 		Family:   rules.Tiers{PassOn: []bool{false, true}, MasterKind: 2, SecondTierKind: 1, NotesGiven: "all"}}
 	var err error
-	b.d, err = New(s, 1, &config.Limits{OpenRequests: 8, Overdue: 25 * time.Millisecond}, &b.agenda, func() rules.Time { return b.clock }, t.Logf)
+	b.d, err = New(s, 1, &config.Limits{OpenRequests: 8, Overdue: 25 * time.Millisecond}, &b.agenda, func() rules.Time { return b.clock }, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	"shaleyard/internal/config"
 	"shaleyard/internal/director"
 	"shaleyard/internal/loop"
@@ -69,7 +71,7 @@
 	stream  *stream
 	silence director.Entry
 	again   director.Entry // the next dial
-	logf    func(string, ...any)
+	log     *zap.Logger
 }
 
 // state is what the list last told of a member, also of one that has gone.
@@ -86,9 +88,9 @@
 
 // New returns a follower of the feed at the address, for the settings' zones and kinds.
 func New(l *config.Limits, s *rules.Settings, address string, calls *pacing.ListCalls, d loop.Dialer, sink Sink,
-	a *director.Agenda, now func() rules.Time, logf func(string, ...any)) *Follower {
+	a *director.Agenda, now func() rules.Time, log *zap.Logger) *Follower {
 	f := &Follower{limits: l, address: address, calls: calls, dialer: d, sink: sink, agenda: a, now: now,
-		zones: map[string]int{}, kinds: map[string]int{}, list: map[string]state{}, logf: logf}
+		zones: map[string]int{}, kinds: map[string]int{}, list: map[string]state{}, log: log}
 	for i, z := range s.Zones {
 		f.zones[z] = i
 	}
@@ -151,8 +153,8 @@
 	f.Counters.Ends[e]++
 	now := f.now()
 	at := f.calls.Next(now, e)
-	f.logf("feed at %s %v: call again in %v behind event %d, %d failures in a row", f.address, e,
-		(at - now).Round(time.Millisecond), f.last, f.calls.Failures())
+	f.log.Info("feed lost", zap.String("feed", f.address), zap.Stringer("cause", e), zap.Duration("again_in", at-now),
+		zap.Uint64("behind_event", f.last), zap.Int("failures", f.calls.Failures()))
 	f.agenda.Set(&f.again, at, f.dial)
 }
 
@@ -206,7 +208,7 @@
 	from := f.last
 	if f.behind >= behindMost {
 		f.Counters.Resyncs++
-		f.logf("feed at %s counts anew: asking for everything, in place of what is behind event %d", f.address, f.last)
+		f.log.Warn("feed counts anew: asking for everything", zap.String("feed", f.address), zap.Uint64("event", f.last))
 		s.anew, from = true, 0
 	}
 	sub := strconv.AppendUint([]byte("SUB "), from, 10)
@@ -275,7 +277,7 @@
 		s.f.Counters.Lines++
 		if err := s.f.take(line, s); err != nil {
 			s.f.Counters.BadLines++
-			s.f.logf("feed at %s: %v", s.f.address, err)
+			s.f.log.Warn("feed line can't be used", zap.String("feed", s.f.address), zap.Error(err))
 			s.f.retry(s, pacing.Unfit)
 			return err
 		}
@@ -412,7 +414,7 @@
 		s.behind = true
 		f.behind++
 		f.Counters.Behind++
-		f.logf("feed at %s is at event %d, behind ours, %d", f.address, n, f.last)
+		f.log.Warn("feed is behind", zap.String("feed", f.address), zap.Uint64("at_event", n), zap.Uint64("event", f.last))
 	}
 	return nil
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
 
 	"shaleyard/internal/config"
 	"shaleyard/internal/director"
@@ -47,7 +48,7 @@
 	s := &rules.Settings{Zones: []string{"west", "here"}, Kinds: []string{"small", "origin"}}
 	calls := pacing.NewListCalls(pacing.ListBounds{Directors: directors, Me: 200, Heed: 2 * time.Second,
 		Purge: 500 * time.Millisecond, Late: 7 * time.Second, Silence: l.FeedSilence, Call: 500 * time.Millisecond, Least: l.FeedRetry}, 1)
-	b.f = New(l, s, "a", calls, b, b, &b.agenda, func() rules.Time { return b.clock }, t.Logf)
+	b.f = New(l, s, "a", calls, b, b, &b.agenda, func() rules.Time { return b.clock }, zap.NewNop())
 	return b
 }
 
