Call the list within the time for purges at a start, unless no work is taken before

The readiness of heartbeats does not keep them away.

Change: the first call is spread over 0.4 s, as the return is. Operators whose list service wants more set list.start_ms; then the director refuses work, with cooldown up to its own call, until it has reached the service (Director.Closed). The laboratory plays it so, with 1.5 s.

--- a/cmd/shaleyard/main.go
+++ b/cmd/shaleyard/main.go
@@ -160,10 +160,13 @@
 		Paused: p.paused, Settled: p.settled}
 	p.fleet = caches.NewFleet(l, s, p.pool, p.loop, p.director, &p.agenda, p.clock.now, p.log)
 	p.director.Attach(p.fleet)
+	if l.FeedStart > 0 {
+		p.director.Closed = p.closed
+	}
 	p.clients = clients.NewServer(l, s, p.pool, p.director, &p.agenda, p.clock.now)
 	p.clients.Ready = p.ready
 	calls := pacing.NewListCalls(pacing.ListBounds{Directors: s.Balancers, Me: int(s.Me), Heed: l.FeedHeed,
-		Purge: l.FeedPurge, Late: l.FeedLate, Silence: l.FeedSilence, Call: l.FeedCall, Least: l.FeedRetry}, c.Seed)
+		Purge: l.FeedPurge, Start: l.FeedStart, Late: l.FeedLate, Silence: l.FeedSilence, Call: l.FeedCall, Least: l.FeedRetry}, c.Seed)
 	p.feed = feed.New(l, s, c.Feed, calls, p.loop, p.director, &p.agenda, p.clock.now, p.log)
 	return p, nil
 }
@@ -234,6 +237,15 @@
 	return p.stopping == 0 && (p.feed.Reached() || p.clock.now()-p.started > p.limits.FeedWait)
 }
 
+// closed tells whether work is refused because what the list service has to tell is not known yet, and until when
+// the client may as well stay away: each director's own turn to call, so that they don't come back in step.
+func (p *program) closed() (until rules.Time, closed bool) {
+	if p.feed.Reached() || p.clock.now()-p.started > p.limits.FeedWait {
+		return 0, false
+	}
+	return p.feed.CallAt() + p.limits.FeedRetry, true
+}
+
 // paused is called when the process has stood still. Nothing is decided until what came meanwhile is read: a cache
 // may have drained, an object been purged, and both count as told.
 func (p *program) paused(gap time.Duration) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -75,6 +75,7 @@
 	FeedCall    time.Duration // a call takes no longer with the service well: connect, subscribe, read what was missed
 	FeedHeed    time.Duration // within which a drain must be heeded from when the service has it
 	FeedPurge   time.Duration // and a purge
+	FeedStart   time.Duration // span of the fleet's first calls; no work is taken before ours. 0: FeedPurge's, and all work
 	FeedLate    time.Duration // after which its news count as told though nothing arrived
 	FeedWait    time.Duration // readiness waits for a list no longer
 	Members     int           // members held at once
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -23,6 +23,7 @@
 type OperatorList struct {
 	HeedMS    float64 `toml:"heed_ms"`
 	PurgeMS   float64 `toml:"purge_ms"`
+	StartMS   float64 `toml:"start_ms"`
 	LateMS    float64 `toml:"late_ms"`
 	CallMS    float64 `toml:"call_ms"`
 	RetryMS   float64 `toml:"retry_ms"`
@@ -105,6 +106,7 @@
 	return []bound{
 		{"list.heed_ms", &o.List.HeedMS, 100, 60_000, func(l *Limits) *time.Duration { return &l.FeedHeed }},
 		{"list.purge_ms", &o.List.PurgeMS, 10, 60_000, func(l *Limits) *time.Duration { return &l.FeedPurge }},
+		{"list.start_ms", &o.List.StartMS, 1, 60_000, func(l *Limits) *time.Duration { return &l.FeedStart }},
 		{"list.late_ms", &o.List.LateMS, 100, 600_000, func(l *Limits) *time.Duration { return &l.FeedLate }},
 		{"list.call_ms", &o.List.CallMS, 1, 60_000, func(l *Limits) *time.Duration { return &l.FeedCall }},
 		{"list.retry_ms", &o.List.RetryMS, 10, 60_000, func(l *Limits) *time.Duration { return &l.FeedRetry }},
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -92,6 +92,7 @@
 // Counters count what passed through.
 type Counters struct {
 	Taken, Served, Refused, Failed, Withdrawn, Overdue       uint64
+	Closed                                                   uint64 // refused, as no work was taken
 	Attempts, Cancelled, Moot, Ended, LateEnds, TimedOut     uint64
 	MemberEvents, MemberEntries, PurgeEvents, UnknownActions uint64
 	Results                                                  Results
@@ -124,6 +125,8 @@
 // Director drives one router.
 type Director struct {
 	Counters Counters
+	// Closed, where set, tells that work is refused for now, and until when a client may stay away.
+	Closed func() (until rules.Time, closed bool)
 
 	router   *rules.Router
 	settings *rules.Settings
@@ -195,6 +198,14 @@
 	now := d.now()
 	r.handle, r.giveUp = h, now+q.Allow
 	d.Counters.Taken++
+	if d.Closed != nil {
+		if until, closed := d.Closed(); closed {
+			d.Counters.Closed++
+			d.answer(r, Answer{Verdict: Refused, RetryAfter: d.cooldown(until - now)})
+			d.free(r)
+			return h, true
+		}
+	}
 	// The module ends each request by its time; this only guards the rule of one answer against a fault.
 	d.agenda.Set(&r.overdue, r.giveUp+d.limits.Overdue, func() {
 		d.Counters.Overdue++
@@ -208,6 +219,14 @@
 	return h, true
 }
 
+// cooldown is the advice to stay away for so long, as far as the site gives any.
+func (d *Director) cooldown(wait time.Duration) time.Duration {
+	if !d.settings.Ceilings.RetryAfter {
+		return 0
+	}
+	return max(0, min(wait, d.settings.Ceilings.MaxRetryAfter))
+}
+
 // Withdraw ends a request whose client no longer waits: no answer is owed.
 func (d *Director) Withdraw(h Handle) {
 	r, ok := d.requests.Get(h)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -68,6 +68,7 @@
 	behind  int  // streams in a row whose numbers were behind ours
 	replay  bool // after a new start of the numbers, until the service's last event is reached
 	reached bool
+	callAt  rules.Time // when the next call is made
 	stream  *stream
 	silence director.Entry
 	again   director.Entry // the next dial
@@ -115,7 +116,13 @@
 }
 
 // Start calls the feed when it is our turn, and from then on keeps it up.
-func (f *Follower) Start() { f.agenda.Set(&f.again, f.calls.Start(f.now()), f.dial) }
+func (f *Follower) Start() {
+	f.callAt = f.calls.Start(f.now())
+	f.agenda.Set(&f.again, f.callAt, f.dial)
+}
+
+// CallAt is when the latest call was made, or will be.
+func (f *Follower) CallAt() rules.Time { return f.callAt }
 
 // dial opens a stream. One that is up until then, because the operators have named another service, is given up
 // first, so that no event can come twice or out of turn.
@@ -155,6 +162,7 @@
 	at := f.calls.Next(now, e)
 	f.log.Info("feed lost", zap.String("feed", f.address), zap.Stringer("cause", e), zap.Duration("again_in", at-now),
 		zap.Uint64("behind_event", f.last), zap.Int("failures", f.calls.Failures()))
+	f.callAt = at
 	f.agenda.Set(&f.again, at, f.dial)
 }
 
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -20,10 +20,12 @@
 type Lab struct {
 	x      *Experiment
 	binary string
-	dir    string
-	record *recorder
-	rng    *rand.Rand
-	net    byte // second byte of all addresses, so that two runs at once keep apart
+	// operator is the operators' file of all directors.
+	operator string
+	dir      string
+	record   *recorder
+	rng      *rand.Rand
+	net      byte // second byte of all addresses, so that two runs at once keep apart
 
 	starter   *starter
 	faults    *faults
@@ -64,6 +66,10 @@
 			err = e
 		}
 	}()
+	l.operator = filepath.Join(o.Dir, "shaleyard.toml")
+	if err := os.WriteFile(l.operator, []byte("[list]\nstart_ms = 1500\n"), 0o600); err != nil {
+		return err
+	}
 	if err := l.build(); err != nil {
 		return err
 	}
--- a/internal/pacing/list.go
+++ b/internal/pacing/list.go
@@ -49,6 +49,9 @@
 	Heed time.Duration
 	// Purge is the time within which a purge must be heeded (settings: familyInfo.purgeSlack; 0.5 s).
 	Purge time.Duration
+	// Start is the span of the fleet's first calls. More than the return's holds only for a director that takes no
+	// work before it has reached the service; 0: the return's.
+	Start time.Duration
 	// Late is when what the service has to tell counts as told though nothing arrived (protocol page: 7 s).
 	Late time.Duration
 	// Silence is how long a stream may say nothing before it is given up.
@@ -72,8 +75,9 @@
 // or Move gives, and reports what came of it: Good for each good line, Next at the end.
 //
 // Four bounds meet here (docs/cold-start.md has the sums):
-//   - Who starts takes no work yet, so the fleet's first calls are spread over Heed less the call's own time.
-//   - Who loses a good stream goes on working, and purges flow on: it is back within the time that those leave.
+//   - Who loses a good stream goes on working, and purges flow on: it is back within the time that those leave. So is
+//     who has just started, as clients may not have noticed that it was gone.
+//   - Who takes no work until it has reached the service may spread its first call over Start.
 //   - A service that is down, or serves what is of no use, has no more to do for being asked again, and what it
 //     will tell when it is well must be heard within Heed of that: no wait then is longer than soon.
 //   - A service that is overloaded can't serve all within Heed whatever we do. What it would tell counts as told
@@ -101,8 +105,11 @@
 	c.soon = max(b.Heed-b.Call, b.Least)
 	c.long = max(b.Late-b.Call, c.soon)
 	part := min(1, float64(b.Directors-1)/(crowd-1))
-	c.spread = time.Duration(part * float64(c.soon))
-	c.back = min(c.spread, b.Purge*4/5)
+	c.back = time.Duration(part * float64(min(c.soon, b.Purge*4/5)))
+	c.spread = c.back
+	if b.Start > 0 {
+		c.spread = time.Duration(part * float64(min(c.soon, b.Start)))
+	}
 	return c
 }
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -650,8 +650,7 @@
 	switch fill := a.source != nil && a.source.role != edge; {
 	case fill && o.Note == NoteFilledByOrigin:
 		d.shield.Waited(d.now, a.sent, o.Waited)
-	case fill && (o.Note == NoteOriginFailed || o.Note == NoteSourceRefused),
-		fill && o.Result == TimedOut && t.heard > a.sent:
+	case fill && (o.Note == NoteOriginFailed || o.Note == NoteSourceRefused):
 		d.shield.Failed(d.now, a.sent)
 	}
 	d.throttle(a, o)
@@ -813,9 +812,6 @@
 			if d.now-a.sent > max(a.doubled, 2*a.expect) {
 				d.timed(a)
 			}
-			if a.fill && a.source.role != edge && s.heard > a.sent {
-				d.shield.Waiting(d.now, a.sent, d.now-a.sent-seconds(copyPace*a.told))
-			}
 			d.again(a)
 		}
 	}
