--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -180,3 +180,40 @@
 		t.Error("two names, one host")
 	}
 }
+
+// Found in the laboratory: a process that was stopped for 5 s sent what had waited to a cache that had drained
+// meanwhile. While it is held, only news reach the router; what was submitted goes by them afterwards.
+func TestHeldRequestsGoByTheNews(t *testing.T) {
+	b := newBench(t)
+	b.d.Hold()
+	b.submit(0)
+	if len(b.sent) != 0 {
+		t.Fatalf("sent to %v while held", b.sent)
+	}
+	b.d.Members(false, 2, []Member{
+		{Name: "c1", Member: rules.Member{Zone: 1, Kind: 0, State: rules.Draining, Weight: 4}},
+		{Name: "c2", Member: rules.Member{Zone: 1, Kind: 0, State: rules.Ready, Weight: 4}}})
+	b.d.Release()
+	if len(b.sent) != 1 || b.sent[0].to != hostOf("c2") {
+		t.Fatalf("sent %v, want one to the cache that is ready", b.sent)
+	}
+	b.d.Ended(b.sent[0].h, Ending{Result: rules.OK, Note: rules.NoteHit})
+	b.want("served")
+}
+
+// A director that takes no work yet refuses it at once, and says until when.
+func TestClosedDirectorRefusesAtOnce(t *testing.T) {
+	b := newBench(t)
+	closed := true
+	b.d.Closed = func() (rules.Time, bool) { return b.clock + time.Second, closed }
+	b.submit(1)
+	if len(b.sent) != 0 || b.d.Counters.Closed != 1 {
+		t.Errorf("sent %v, %d refused as closed", b.sent, b.d.Counters.Closed)
+	}
+	b.want("refused")
+	closed = false
+	b.submit(0)
+	if len(b.sent) != 1 {
+		t.Error("not sent once it is open")
+	}
+}
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -172,3 +172,35 @@
 		t.Error(err)
 	}
 }
+
+// A loop that has not run for longer than it should was paused: deadlines rest until what came meanwhile is read.
+func TestDeadlinesRestBehindAPause(t *testing.T) {
+	var clock rules.Time = 1000 * time.Second
+	told, ran := []string{}, 0
+	l := &Loop{Agenda: &director.Agenda{}, Now: func() rules.Time { return clock }, PauseLimit: 300 * time.Millisecond,
+		Settle: 30 * time.Millisecond, Settled: func() { told = append(told, "settled") }}
+	l.Paused = func(gap time.Duration) { told = append(told, "paused "+gap.String()) }
+	l.alarm = time.NewTimer(time.Hour)
+	defer l.alarm.Stop()
+	look := func() { l.wake(); l.due(); l.arm() }
+	l.Agenda.At(clock+50*time.Millisecond, func() { ran++ })
+	look()
+	clock += 290 * time.Millisecond
+	look()
+	if ran != 1 || len(told) != 0 {
+		t.Fatalf("ran %d, told %v without a pause", ran, told)
+	}
+	l.Agenda.At(clock+time.Second, func() { ran++ })
+	clock += 5 * time.Second
+	look()
+	clock += 20 * time.Millisecond
+	look()
+	if ran != 1 || len(told) != 1 || told[0] != "paused 5s" {
+		t.Errorf("ran %d, told %v within the rest", ran, told)
+	}
+	clock += 10 * time.Millisecond
+	look()
+	if ran != 2 || len(told) != 2 {
+		t.Errorf("ran %d, told %v behind it", ran, told)
+	}
+}
