--- /dev/null
+++ b/cmd/yardlab/main_test.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"shaleyard/internal/labcheck"
+)
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestExitStatus(t *testing.T) {
+	good := write(t, "good.jsonl", `{"ms":1,"kind":"meta"}`+"\n")
+	bad := write(t, "bad.jsonl", `{"ms":1,"kind":"run","ref":"p"}`+"\n"+`{"ms":2,"kind":"run","ref":"p"}`+"\n")
+	odd := write(t, "odd.toml", "directors = 4\nspeed = 1\n")
+	for _, c := range []struct {
+		args   []string
+		status int
+		says   string
+	}{
+		{[]string{"check", good}, pass, "pass"},
+		{[]string{"check", bad}, broken, "p ran twice"},
+		{[]string{"check", odd}, unusable, "line 1"},
+		{[]string{"check", good + "x"}, unusable, "no such file"},
+		{[]string{"run", odd}, unusable, "odd.toml:2: speed: no such key"},
+		{[]string{"run", "../../experiments/skew.toml", "--directors", "500"}, unusable, "--directors: 500"},
+		{[]string{"run", "../../experiments/skew.toml", "--binary", good + "x"}, unusable, "--binary"},
+		{[]string{"list", "../../experiments"}, pass, "stopped-half"},
+		{[]string{"list", filepath.Dir(odd)}, unusable, "odd.toml:2"},
+		{[]string{"fly"}, unusable, "unexpected argument"},
+		{[]string{"--help"}, pass, "Play an experiment"},
+	} {
+		var out strings.Builder
+		if got := run(c.args, &out, &out); got != c.status || !strings.Contains(out.String(), c.says) {
+			t.Errorf("%v: status %d, %q; want %d, %q", c.args, got, out.String(), c.status, c.says)
+		}
+	}
+}
+
+// directors are the processes whose configuration lies below a folder.
+func directors(t *testing.T, dir string) (n int) {
+	t.Helper()
+	all, err := filepath.Glob("/proc/[0-9]*/environ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range all {
+		if text, err := os.ReadFile(f); err == nil && strings.Contains(string(text), "EDGE_CONFIG="+dir) {
+			n++
+		}
+	}
+	return n
+}
+
+// wait polls for something that another process does; the time is only so that a failure ends.
+func wait(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !done(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(what)
+		}
+	}
+}
+
+// A run against a baseline leaves both sets of figures; one that is interrupted, or killed with no chance to tidy
+// up, leaves no process.
+func TestRunsEndWhatTheyStart(t *testing.T) {
+	bin := t.TempDir()
+	build := exec.Command("go", "build", "-o", bin+"/", "shaleyard/cmd/yardlab", "shaleyard/cmd/shaleyard")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	director, out := filepath.Join(bin, "shaleyard"), t.TempDir()
+	var said strings.Builder
+	short := write(t, "short.toml", "directors = 3\nseconds = 1.0\n[[bound]]\nfigure = \"requests\"\nmost = 1.0\n")
+	status := run([]string{"run", short, "--binary", director, "--baseline", director, "--out", out, "--seed", "7"}, &said, &said)
+	text, err := os.ReadFile(filepath.Join(out, "result.json"))
+	if err != nil {
+		t.Fatal(err, said.String())
+	}
+	var r struct {
+		Experiment, Verdict string
+		Seed                uint64
+		Directors           int
+		Broken              []labcheck.Broken
+		Figures, Baseline   map[string]float64
+	}
+	if err := json.Unmarshal(text, &r); err != nil {
+		t.Fatal(err)
+	}
+	if status != broken || r.Verdict != "fail" || r.Experiment != "short" || r.Seed != 7 || r.Directors != 3 ||
+		len(r.Broken) != 1 || r.Broken[0].Rule != "bound" || r.Figures["requests"] < 50 || r.Baseline["requests"] < 50 {
+		t.Errorf("status %d, result %+v", status, r)
+	}
+	long := write(t, "long.toml", "directors = 4\nseconds = 300.0\n")
+	for _, s := range []syscall.Signal{syscall.SIGINT, syscall.SIGKILL} {
+		dir := t.TempDir()
+		lab := exec.Command(filepath.Join(bin, "yardlab"), "run", long, "--binary", director, "--out", dir)
+		if err := lab.Start(); err != nil {
+			t.Fatal(err)
+		}
+		wait(t, "its directors don't start", func() bool { return directors(t, dir) == 4 })
+		lab.Process.Signal(s)
+		lab.Wait()
+		if got := lab.ProcessState.ExitCode(); s == syscall.SIGINT && got != unusable {
+			t.Errorf("interrupted: status %d, want %d", got, unusable)
+		}
+		wait(t, "processes are left behind "+s.String(), func() bool { return directors(t, dir) == 0 })
+	}
+}
