--- a/rules/rules.go
+++ b/rules/rules.go
@@ -61,7 +61,6 @@
 		purges: map[purgeKey]purge{}, shield: pacing.NewShield(s.Balancers)}
 	for _, c := range s.Services {
 		d.classes = append(d.classes, classStats{c.Aim.Seconds(), c.Aim.Seconds()}) // at first, patient
-		d.shield.Serve(c.Aim)
 	}
 	return d, nil
 }
@@ -343,7 +342,7 @@
 	}
 	t.spent += work
 
-	c := &d.classes[r.Class]
+	c, q := &d.classes[r.Class], &d.s.Services[r.Class]
 	age := time.Duration(0)
 	fresh := f.ClassFresh[r.Class]
 	if p, ok := d.lastPurge(r); ok {
@@ -354,7 +353,7 @@
 	}
 	a := &attempt{id: r.ID, no: len(r.tries), class: r.Class, target: t, source: src, sent: d.now,
 		work: work, told: cmp.Or(r.told, work), expect: seconds(c.latency * work / c.work),
-		out: true, mayRun: true,
+		aim: q.Aim + seconds(q.AimStretch*work), out: true, mayRun: true,
 		look: t.ejected || (src != nil && src.ejected), fill: src != nil && d.likelyFill(r, t)}
 	r.tries, r.out, r.waiting = append(r.tries, a), r.out+1, false
 	d.tries[uint64(r.ID)<<16|uint64(a.no)] = a
@@ -577,7 +576,6 @@
 // a part of the load beside which they would have been in time, lest one crowd shut a cache for seconds.
 // Guards against overload, slow sources and caches. Harm: where no sizes are told, large ones look late.
 func (d *Router) throttle(a *attempt, o Outcome) {
-	c := &d.s.Services[a.class]
 	t, s := blamed(a)
 	switch {
 	case a.target.role != edge:
@@ -589,12 +587,11 @@
 	if a.look || (o.Result != OK && o.Result != Refused && o.Result != TimedOut) {
 		return
 	}
-	aim := c.Aim + seconds(c.AimStretch*a.work)
-	late := o.After > aim
+	late := o.After > a.aim
 	switch to := &a.target.to; {
 	case s == to && (o.Note == NoteHit || o.Result != OK):
 		to.late = late || o.Result != OK
-	case a.target.role == edge && o.Result == OK && o.After-o.Waited > aim && to.late:
+	case a.target.role == edge && o.Result == OK && o.After-o.Waited > a.aim && to.late:
 		t, s = a.target, to // hits are late there too, and the source did not keep it waiting
 	}
 	if o.Result == OK && !late && (s == &a.target.to || o.Note == NoteFilledByOrigin) {
@@ -607,7 +604,7 @@
 	case o.Result != OK || late:
 		top := max(limitFirst*a.work/t.seats, limitMost*(s.load+a.work))
 		beside := max(a.load, s.load+a.work)
-		fit := limitFit * beside * aim.Seconds() / max(o.After, aim).Seconds()
+		fit := limitFit * beside * a.aim.Seconds() / max(o.After, a.aim).Seconds()
 		s.limit = max(limitLeast*d.largest()/t.seats, min(s.limit, top)*(1-limitStep), min(s.limit, fit))
 	case s.load+a.work > s.limit/2:
 		s.limit += a.work * limitStep // by work done in time: a low limit recovers within seconds
@@ -648,10 +645,10 @@
 		return // says nothing
 	}
 	switch fill := a.source != nil && a.source.role != edge; {
-	case fill && o.Note == NoteFilledByOrigin:
-		d.shield.Waited(d.now, a.sent, o.Waited)
+	case fill && o.Note == NoteFilledByOrigin: // late by the source, not by the cache or the link
+		d.shield.Answered(d.now, a.sent, o.After > a.aim && o.After-o.Waited <= a.aim)
 	case fill && (o.Note == NoteOriginFailed || o.Note == NoteSourceRefused):
-		d.shield.Failed(d.now, a.sent)
+		d.shield.Answered(d.now, a.sent, true)
 	}
 	d.throttle(a, o)
 	d.judge(a, o)
@@ -756,7 +753,7 @@
 		}
 	case untold, o.Note == NoteSourceRefused, o.Note == NoteSourceLacks, o.Note == NoteOriginFailed,
 		o.Note >= NoteFilled && o.Note <= NoteJoined:
-		src.missed = 0
+		src.missed, src.spoke = 0, d.now
 		if src.ejected {
 			d.readmit(src)
 		}
@@ -812,6 +809,9 @@
 			if d.now-a.sent > max(a.doubled, 2*a.expect) {
 				d.timed(a)
 			}
+			if a.fill && a.source.spoke > a.sent && s.heard > a.sent && !d.slow(s) && d.now-a.sent > a.aim {
+				d.shield.Answered(d.now, a.sent, true) // neither hangs, so the origin does
+			}
 			d.again(a)
 		}
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -37,7 +37,7 @@
 	ejectedAt, until   Time    // ejected: since when; no look before
 	void               Time    // what the table says of its holdings from before is void
 	missed             int     // fills from it that failed since its last sign of life
-	heard              Time    // its last answer as target
+	heard, spoke       Time    // its last answer as target, and as source
 	backoff            time.Duration
 	pace               float64 // logarithm of answer times over what they should be, a running mean
 	seats              float64 // routers that may send to it
@@ -65,7 +65,7 @@
 	sent           Time
 	load           float64       // out on its side when it was sent, with it
 	work, told     float64       // seconds of sending: as budgets and limits count it, and as told
-	expect         time.Duration // to an answer
+	expect, aim    time.Duration // to an answer: as a rule; in time for its full worth
 	doubled        time.Duration // its time out at which it is next a sample of pace
 	look           bool          // asks a half-open target or source only for what it holds
 	out            bool
