--- a/rules/rules.go
+++ b/rules/rules.go
@@ -647,7 +647,7 @@
 	switch fill := a.source != nil && a.source.role != edge; {
 	case fill && o.Note == NoteFilledByOrigin: // late by the source, not by the cache or the link
 		d.shield.Answered(d.now, a.sent, o.After > a.aim && o.After-o.Waited <= a.aim)
-	case fill && (o.Note == NoteOriginFailed || o.Note == NoteSourceRefused):
+	case fill && o.Note == NoteOriginFailed:
 		d.shield.Answered(d.now, a.sent, true)
 	}
 	d.throttle(a, o)
