Pace repeats, connections, first fills and work after a start; let beliefs age

Empty caches that don't join fills were filled five times with each object, and cold caches were refused half of their work at 3 in 100 of their budget, as sending was first taken for the whole aim and learnt by 1/32.

Change, all decisions in internal/pacing, each with tests of its own: Repeats, a budget over time that shrinks as attempts are turned away, overdrawn by repayments alone; Firsts, a look at a cold cache before its fill where caches don't join fills; Conns, connections to a peer by what it has been seen to take, few at a time; Admission, work let in after a start or a pause as answers come; Limit, Seen, Streak, Mean: beliefs that count less with age, or learn from their first samples. Sending is first taken for a quarter of the aim.

--- a/cmd/shaleyard/main.go
+++ b/cmd/shaleyard/main.go
@@ -158,8 +158,9 @@
 	p.loop = &loop.Loop{Agenda: &p.agenda, Now: p.clock.now, Front: front{p}, Logf: p.log.Sugar().Warnf,
 		Rejected: p.reject, Inherited: c.Inherited, PauseLimit: l.PauseLimit, Settle: l.PauseSettle,
 		Paused: p.paused, Settled: p.settled}
-	p.fleet = caches.NewFleet(l, s, p.pool, p.loop, p.director, &p.agenda, p.clock.now, p.log)
+	p.fleet = caches.NewFleet(l, s, p.pool, p.loop, p.director, &p.agenda, p.clock.now, p.log, c.Seed)
 	p.director.Attach(p.fleet)
+	p.director.Admission = pacing.NewAdmission(c.Seed)
 	if l.FeedStart > 0 {
 		p.director.Closed = p.closed
 	}
--- a/cmd/shaleyard/stories_test.go
+++ b/cmd/shaleyard/stories_test.go
@@ -32,9 +32,9 @@
  "registryMode":"automatic","weights":"rough","quantum":2000000,
  "services":[{"name":"media","aim":5000000000,"deadline":20000000000,"worth":2,"effect":"read_like"},
   {"name":"repayment","aim":5000000000,"deadline":20000000000,"worth":3,"effect":"non_idempotent"}],
- "ceilings":{"cancel":true,"maxAttempts":6,"secondCopies":true,"connectTimeout":5000000000},
+ "ceilings":{"cancel":true,"maxAttempts":6,"secondCopies":true,"retryAfter":true,"maxRetryAfter":500000000,"connectTimeout":5000000000},
  "guarantees":{"cold":1000000000,"coldFrom":0.5,"fall":1000000000,"drainGrace":2000000000,"tipMultiple":2},
- "familyInfo":{"passOn":[false,true],"flowKbPerS":1000,"masterKind":2,"secondTierKind":1,"notesGiven":"all",
+ "familyInfo":{"passOn":[false,true],"mergesFills":true,"flowKbPerS":1000,"masterKind":2,"secondTierKind":1,"notesGiven":"all",
   "purgeTakes":6000000000,"purgeSlack":500000000},
  "report":{"fields":["active"],"via":"inline"}}`
 
@@ -134,7 +134,7 @@
 	if len(got) == 4 {
 		got[2] = without(got[2], "patience")
 	}
-	want := []string{"REQ", ref1, "sort=media,asset=7f3a9c21e0b4d655,slice=3,up=o,store=1,inm=tag1", ""}
+	want := []string{"REQ", ref1, "sort=media,asset=7f3a9c21e0b4d655,slice=3,up=o,store=1,do=share,inm=tag1", ""}
 	if d := cmp.Diff(want, got); d != "" {
 		t.Error(d)
 	}
@@ -148,6 +148,52 @@
 	s.want(cl.Reply(), nettest.Reply{Seq: 2, Good: true, Fields: map[string]string{"valid": "1"}})
 }
 
+// A flood meets a director that has just started: it takes as many requests as it can hope to answer, refuses the rest
+// at once with a time of its own for each to come back, and takes twice as many when those are answered.
+func TestFloodAfterAStartIsLetInAsAnswersCome(t *testing.T) {
+	s := launch(t, 1024, io.Discard, func(l *config.Limits) { l.ConnsPerPeer = 1 })
+	flood := func(cl *nettest.Conn, from, n int) {
+		for i := range n {
+			cl.Submit(int32(from+i), "", fields("media", fmt.Sprintf("%016x", 1000+from+i))...)
+		}
+	}
+	const first, n = 16, 30
+	one, two := s.client(), s.client()
+	flood(one, 1, n)
+	waits := map[string]bool{}
+	refused := func(cl *nettest.Conn, n int) {
+		t.Helper()
+		for range n {
+			r := cl.Reply()
+			if r.Field != 1 || r.Fields["cooldown"] == "" {
+				t.Fatalf("%+v, want a refusal that says when to come back", r)
+			}
+			waits[r.Fields["cooldown"]] = true
+		}
+	}
+	refused(one, n-first)
+	flood(two, 1, n)
+	refused(two, n)
+	if len(waits) < 20 {
+		t.Errorf("%d different times to come back for %d clients", len(waits), 2*n-first)
+	}
+	c := s.cache.Accept()
+	serve := func(n int) {
+		t.Helper()
+		for range n {
+			c.Answer(c.Command()[1], "OK", "n=HIT,rev=t,since=1764576000000", "x")
+		}
+		for range n {
+			if r := one.Reply(); !r.Good {
+				t.Fatalf("%+v, want an answer", r)
+			}
+		}
+	}
+	serve(first)
+	flood(one, n+1, n)
+	serve(n)
+}
+
 // A reset behind a written repayment may have come after it ran: it must not be sent again, nor refused.
 func TestRepaymentIsNotSentAgainAfterAReset(t *testing.T) {
 	s := start(t)
--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -17,6 +18,7 @@
 	"shaleyard/internal/config"
 	"shaleyard/internal/director"
 	"shaleyard/internal/loop"
+	"shaleyard/internal/pacing"
 	"shaleyard/rules"
 )
 
@@ -31,7 +33,7 @@
 	Sent, Stopped, Answers, Late                  uint64
 	BadStream, BadAnswer, Backlogged, NoPeer      uint64
 	BytesIn, BytesOut, SilentConns, NoDescriptors uint64
-	Moved, Stale, Crossed, Redials                uint64
+	Moved, Stale, Crossed, Redials, Shared        uint64
 }
 
 // Fleet holds the connections to all peers.
@@ -46,6 +48,7 @@
 	agenda *director.Agenda
 	now    func() rules.Time
 	log    *zap.Logger
+	rng    *rand.Rand
 	peers  map[rules.Host]*peer
 	calls  map[director.Handle]*call
 	conns  *director.Table[*conn]
@@ -62,6 +65,7 @@
 	address string
 	started rules.Time
 	conns   []*conn
+	pace    pacing.Conns
 	left    bool
 	logAt   rules.Time // no line on it before
 }
@@ -103,8 +107,8 @@
 
 // NewFleet returns a fleet without members. Attempts' ends go to the ender.
 func NewFleet(l *config.Limits, s *rules.Settings, pool *buffer.Pool, d loop.Dialer, e Ender, a *director.Agenda,
-	now func() rules.Time, log *zap.Logger) *Fleet {
-	return &Fleet{limits: l, fields: s.Report.Fields, pool: pool, dialer: d, ender: e, agenda: a, now: now, log: log,
+	now func() rules.Time, log *zap.Logger, seed uint64) *Fleet {
+	return &Fleet{rng: rand.New(rand.NewPCG(seed, 4)), limits: l, fields: s.Report.Fields, pool: pool, dialer: d, ender: e, agenda: a, now: now, log: log,
 		keep: l.PeerIdle, peers: map[rules.Host]*peer{}, calls: map[director.Handle]*call{},
 		conns: director.NewTable[*conn](l.PeerConns)}
 }
@@ -125,7 +129,9 @@
 func (f *Fleet) Join(host rules.Host, name, address string, started rules.Time) {
 	p := f.peers[host]
 	if p == nil {
-		f.peers[host] = &peer{host: host, name: name, address: address, started: started}
+		p = &peer{host: host, name: name, address: address, started: started, pace: pacing.NewConns(f.rng)}
+		p.pace.Started(started)
+		f.peers[host] = p
 		return
 	}
 	p.left = false
@@ -134,6 +140,7 @@
 	}
 	moved := p.address != address
 	p.address, p.started = address, started
+	p.pace.Started(started)
 	f.Counters.Restarted++
 	for _, c := range append([]*conn(nil), p.conns...) {
 		// The news come late: what was opened since the start belongs to the new life already, and to
@@ -208,12 +215,26 @@
 	if best != nil && ((len(best.open) == 0 && !once) || len(p.conns) >= f.limits.ConnsPerPeer) {
 		return best
 	}
+	if best != nil && !p.pace.May(f.now(), len(p.conns), p.opening()) {
+		f.Counters.Shared++
+		return best
+	}
 	if c := f.dial(p); c != nil {
 		return c
 	}
 	return best
 }
 
+// opening is the number of connections being dialled.
+func (p *peer) opening() (n int) {
+	for _, c := range p.conns {
+		if c.link == nil {
+			n++
+		}
+	}
+	return n
+}
+
 // before tells that c is the better of two: less open, up already, used later, so that what is not needed any
 // more comes to its idle time.
 func (c *conn) before(o *conn) bool {
@@ -386,6 +407,7 @@
 func (c *conn) Opened(link loop.Conn) {
 	c.f.files--
 	c.link, c.up, c.rested = link, c.f.now(), c.f.now()
+	c.p.pace.Opened(c.up, len(c.p.conns)-c.p.opening())
 	if c.closed {
 		link.Close()
 		return
@@ -407,6 +429,7 @@
 	c.f.note(c.p, "connect failed", zap.Int("attempts_waiting", len(c.open)), zap.NamedError("cause", err))
 	line := c.line
 	c.line, c.spent = nil, true
+	c.p.pace.Failed(c.f.now(), len(c.p.conns)-c.p.opening())
 	for _, k := range line {
 		if c.open[k.id] == k {
 			c.f.move(k, errors.Is(err, syscall.ECONNRESET))
@@ -415,6 +438,9 @@
 	c.gone(rules.ConnectFailed)
 }
 
+// turnedAway is the life of a connection that a peer has closed because it holds as many as it takes.
+const turnedAway = 100 * time.Millisecond
+
 // redialsMost bounds the dials that one attempt makes because others were reset.
 const redialsMost = 2
 
@@ -455,6 +481,9 @@
 		if !c.spoilt {
 			c.f.crossed(c)
 		}
+		if c.served == 0 && !c.spoilt && c.f.now()-c.up < turnedAway { // accepted only to be closed: a peer that is full
+			c.p.pace.Failed(c.f.now(), len(c.p.conns)-c.p.opening()-1)
+		}
 	}
 	c.gone(rules.Reset)
 }
--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -39,7 +39,7 @@
 	l := &config.Limits{PeerConns: 8, StreamsPerConn: 2, PeerIdle: 10 * time.Second, PeerKeepLeast: 50 * time.Millisecond, PeerGhost: 5 * time.Second, PeerSilence: time.Second, PeerBacklog: 1000,
 		AnswerBody: 100, AnswerFields: 100}
 	s := &rules.Settings{Report: rules.ReportSettings{Fields: []string{"active", "x1"}}}
-	b.f = NewFleet(l, s, buffer.NewPool(64, 64), b, b, &b.agenda, func() rules.Time { return b.clock }, zap.NewNop())
+	b.f = NewFleet(l, s, buffer.NewPool(64, 64), b, b, &b.agenda, func() rules.Time { return b.clock }, zap.NewNop(), 1)
 	b.f.Join(1, "c1", "a", 0)
 	return b
 }
@@ -349,3 +349,73 @@
 		t.Error(d)
 	}
 }
+
+// How many connections a peer takes shows only in dials that fail. From then on attempts share those that hold, and
+// no request tries the peer's patience anew; a new life of the peer is a new beginning.
+func TestPeerShortOfConnectionsIsNotAskedForMore(t *testing.T) {
+	b := newBench()
+	b.f.limits.ConnsPerPeer, b.f.limits.PeerConns, b.f.limits.StreamsPerConn = 8, 32, 100
+	b.send(1, "r1")
+	b.dials[0].Opened(&nettest.Link{})
+	b.send(2, "r2")
+	b.dials[1].Failed(errors.New("refused")) // r2 moves to the one that holds
+	for i := range 20 {
+		b.send(director.Handle(10+i), fmt.Sprintf("s%d", i))
+	}
+	if len(b.dials) != 2 {
+		t.Errorf("%d dials, want none behind the one that failed", len(b.dials))
+	}
+	if b.f.Counters.Shared != 20 || len(b.ends) != 0 {
+		t.Errorf("%d attempts shared a connection, want 20; ended: %v", b.f.Counters.Shared, b.ends)
+	}
+	b.f.Join(1, "c1", "b", b.clock)
+	b.send(50, "r50")
+	if len(b.dials) != 3 {
+		t.Errorf("%d dials, want one to the new life", len(b.dials))
+	}
+}
+
+// A burst opens few connections at a time, and one to a peer that has only just started.
+func TestBurstOpensFewConnectionsAtATime(t *testing.T) {
+	for _, young := range []bool{false, true} {
+		b := newBench()
+		b.f.limits.ConnsPerPeer, b.f.limits.PeerConns, b.f.limits.StreamsPerConn = 32, 64, 100
+		want := 3
+		if young {
+			b.f.Join(1, "c1", "a", b.clock)
+			want = 1
+		}
+		for i := range 20 {
+			b.send(director.Handle(1+i), fmt.Sprintf("s%d", i))
+		}
+		if len(b.dials) != want {
+			t.Errorf("young %v: %d dials at once, want %d", young, len(b.dials), want)
+		}
+	}
+}
+
+// A peer that is full may accept a connection only to close it: that counts like a failed dial. One that has served,
+// or that is the only one, says nothing of room.
+func TestConnectionClosedUnusedCountsAsTurnedAway(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		before func(b *bench)
+		dials  int
+	}{
+		{"turned away", func(*bench) {}, 2},
+		{"after a while", func(b *bench) { b.clock += time.Second }, 3},
+	} {
+		b := newBench()
+		b.f.limits.ConnsPerPeer, b.f.limits.PeerConns, b.f.limits.StreamsPerConn = 8, 32, 100
+		b.send(1, "r1")
+		b.dials[0].Opened(&nettest.Link{})
+		b.send(2, "r2")
+		b.dials[1].Opened(&nettest.Link{})
+		tc.before(b)
+		b.dials[1].Closed()
+		b.send(3, "r3")
+		if len(b.dials) != tc.dials {
+			t.Errorf("%s: %d dials, want %d", tc.name, len(b.dials), tc.dials)
+		}
+	}
+}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -15,6 +15,7 @@
 
 	"shaleyard/internal/buffer"
 	"shaleyard/internal/config"
+	"shaleyard/internal/pacing"
 	"shaleyard/rules"
 )
 
@@ -93,6 +94,7 @@
 type Counters struct {
 	Taken, Served, Refused, Failed, Withdrawn, Overdue       uint64
 	Closed                                                   uint64 // refused, as no work was taken
+	NotAdmitted                                              uint64 // refused, as too much was in hand after a start
 	Attempts, Cancelled, Moot, Ended, LateEnds, TimedOut     uint64
 	MemberEvents, MemberEntries, PurgeEvents, UnknownActions uint64
 	Results                                                  Results
@@ -127,6 +129,8 @@
 	Counters Counters
 	// Closed, where set, tells that work is refused for now, and until when a client may stay away.
 	Closed func() (until rules.Time, closed bool)
+	// Admission, where set, is the pace at which work is taken after a start or a pause.
+	Admission *pacing.Admission
 
 	router   *rules.Router
 	settings *rules.Settings
@@ -151,6 +155,8 @@
 	token   uint64
 	giveUp  rules.Time
 	overdue Entry
+	since   rules.Time     // when it was taken
+	let     bool           // let in by the admission, which hears of its end
 	next    int            // number of the next attempt
 	out     map[int]Handle // attempts out by number
 	over    bool
@@ -196,16 +202,14 @@
 		return 0, false
 	}
 	now := d.now()
-	r.handle, r.giveUp = h, now+q.Allow
+	r.handle, r.giveUp, r.since = h, now+q.Allow, now
 	d.Counters.Taken++
-	if d.Closed != nil {
-		if until, closed := d.Closed(); closed {
-			d.Counters.Closed++
-			d.answer(r, Answer{Verdict: Refused, RetryAfter: d.cooldown(until - now)})
-			d.free(r)
-			return h, true
-		}
+	if wait, ok := d.admit(now, q.Class); !ok {
+		d.answer(r, Answer{Verdict: Refused, RetryAfter: d.cooldown(wait)})
+		d.free(r)
+		return h, true
 	}
+	r.let = true
 	// The module ends each request by its time; this only guards the rule of one answer against a fault.
 	d.agenda.Set(&r.overdue, r.giveUp+d.limits.Overdue, func() {
 		d.Counters.Overdue++
@@ -219,6 +223,23 @@
 	return h, true
 }
 
+// admit tells whether a request is taken, and if not, for how long its client may as well stay away.
+func (d *Director) admit(now rules.Time, class int) (wait time.Duration, ok bool) {
+	if d.Closed != nil {
+		if until, closed := d.Closed(); closed {
+			d.Counters.Closed++
+			return until - now, false
+		}
+	}
+	if d.Admission != nil && d.settings.Services[class].Effect != "non_idempotent" { // those are refused last
+		if wait, ok := d.Admission.May(now, d.requests.Len()-1); !ok {
+			d.Counters.NotAdmitted++
+			return wait, false
+		}
+	}
+	return 0, true
+}
+
 // cooldown is the advice to stay away for so long, as far as the site gives any.
 func (d *Director) cooldown(wait time.Duration) time.Duration {
 	if !d.settings.Ceilings.RetryAfter {
@@ -321,9 +342,12 @@
 // the same.
 func (d *Director) Hold() { d.held = true }
 
-// Release takes up what was held.
+// Release takes up what was held. What comes from now on is let in as after a start.
 func (d *Director) Release() {
 	d.held = false
+	if d.Admission != nil {
+		d.Admission.Restart(d.now())
+	}
 	if !d.busy {
 		d.drain()
 	}
@@ -393,6 +417,9 @@
 	default:
 		d.Counters.Failed++
 	}
+	if d.Admission != nil && r.let {
+		d.Admission.Answered(a.Verdict == Served, d.now()-r.since)
+	}
 	d.finish(r)
 	r.reply.Reply(r.token, a)
 }
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -9,6 +9,7 @@
 
 	"shaleyard/internal/buffer"
 	"shaleyard/internal/config"
+	"shaleyard/internal/pacing"
 	"shaleyard/rules"
 )
 
@@ -217,3 +218,38 @@
 		t.Error("not sent once it is open")
 	}
 }
+
+// After a start work is let in as answers come: what is over is refused at once, never sent, and told when to come
+// back. A repayment is taken all the same, and so is all work once answers have come.
+func TestWorkBeyondTheAdmissionIsRefusedAtOnce(t *testing.T) {
+	b := newBench(t)
+	b.d.limits.OpenRequests, b.d.requests = 100, NewTable[*request](100)
+	b.d.settings.Ceilings.RetryAfter, b.d.settings.Ceilings.MaxRetryAfter = true, time.Second
+	b.d.Admission = pacing.NewAdmission(1)
+	for range 40 {
+		b.submit(0)
+	}
+	let := b.d.Open()
+	if n := len(b.answers); let == 0 || let > 20 || n != 40-let || len(b.sent) > let {
+		t.Fatalf("%d in hand, %d answers, %d attempts of 40 requests", let, n, len(b.sent))
+	}
+	if b.d.Counters.NotAdmitted != uint64(40-let) {
+		t.Errorf("%d counted", b.d.Counters.NotAdmitted)
+	}
+	b.submit(1)
+	if b.d.Open() != let+1 {
+		t.Error("a repayment was refused")
+	}
+	for _, s := range b.sent {
+		b.d.Ended(s.h, Ending{Result: rules.OK, Note: rules.NoteHit})
+	}
+	if b.d.Open() != 0 {
+		t.Fatalf("%d still in hand", b.d.Open())
+	}
+	for range 2 * let {
+		b.submit(0)
+	}
+	if b.d.Open() < 2*let-1 {
+		t.Errorf("%d in hand after %d answers, want twice as many", b.d.Open(), let)
+	}
+}
--- a/rules/example_test.go
+++ b/rules/example_test.go
@@ -15,7 +15,7 @@
 		Services: []rules.Class{{Name: "video", Aim: time.Second, Deadline: 4 * time.Second, Worth: 1,
 			Effect: "read_like"}},
 		Ceilings: rules.Ceilings{MaxAttempts: 4, Cancel: true},
-		Family: rules.Tiers{MasterKind: 2, SecondTierKind: 1, Lateral: "location", NotesGiven: "all",
+		Family: rules.Tiers{MasterKind: 2, SecondTierKind: 1, Lateral: "location", NotesGiven: "all", MergesFills: true,
 			SeatsByZone: []int{0, 1}, HubByZone: []int{0, 0}, PurgeTakes: 6 * time.Second},
 	}
 	r, err := rules.New(s, 7)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -38,10 +38,9 @@
 	limitMost  = 2.0                    // or this times the work out, where that is more
 	limitLeast = 2.0                    // mean sendings of the largest class left to all routers together
 	limitFit   = 0.3                    // part of the work beside which all were in time that a limit leaves
-	limitStep  = 0.2                    // part by which lateness lowers a limit, or work in time lifts it
 	coldUse    = 0.5                    // part of the cold budget we use: margin for chance
 	coldCarry  = 0.5                    // transfers a host of unknown size is taken to carry for us alone
-	learn      = 1.0 / 32               // weight of a new sample in running means
+	guessWork  = 0.25                   // part of an aim that sending is taken for before any is seen
 	paceLearn  = 1.0 / 6                // weight of a new sample of a cache's pace: some seconds of traffic
 	paceFades  = 0.9                    // part of a pace left after a second: a shunned cache is tried
 	paceSlack  = 0.7                    // pace, over that of the faster third, that is taken for chance
@@ -60,7 +59,8 @@
 		cur: map[objectPart]*entry{}, prev: map[objectPart]*entry{},
 		purges: map[purgeKey]purge{}, shield: pacing.NewShield(s.Balancers)}
 	for _, c := range s.Services {
-		d.classes = append(d.classes, classStats{c.Aim.Seconds(), c.Aim.Seconds()}) // at first, patient
+		aim := c.Aim.Seconds() // of which sending is a part, or nothing would be in time
+		d.classes = append(d.classes, classStats{pacing.Guess(aim * guessWork), pacing.Guess(aim)})
 	}
 	return d, nil
 }
@@ -89,6 +89,7 @@
 		r.passOn = e.Write || d.s.Family.PassOn[e.Class]
 		d.reqs[e.ID] = r
 		d.copies = min(d.copies+copyShare, copyMost)
+		d.repeats.Request(d.now)
 		d.advance(r)
 	case Started:
 		if r := d.reqs[e.ID]; r != nil {
@@ -173,7 +174,6 @@
 			return
 		}
 		s = &server{}
-		s.to.limit, s.from.limit = math.Inf(1), math.Inf(1)
 		d.servers[e.Host] = s
 		d.order = append(d.order, s)
 	} else if e.Started != s.Started && e.State != Gone {
@@ -181,8 +181,8 @@
 		s.void = d.now
 	}
 	if e.Started != 0 && e.Started != s.Started {
-		s.cold, s.spentAt = e.Started, d.now
-		s.spent = d.rng.Float64() * d.largest() // at random: all routers hear of it at once
+		s.cold = e.Started
+		s.spent.Spend(d.rng.Float64()*d.largest() - s.spent.Spent(d.now, 0)) // random: all routers hear at once
 	}
 	f, g := &d.s.Family, &d.s.Guarantees
 	s.Member, s.listed, s.seats = e, e.State != Gone, float64(max(d.s.Balancers, 1))
@@ -241,9 +241,9 @@
 				return true
 			}
 		case room && d.swamped(r, t, 1),
-			d.full(&t.to, work) && (d.likelyFill(r, t) || d.full(&t.to, work-hitRoom*t.to.limit)):
+			d.full(&t.to, work) && (d.likelyFill(r, t) || d.full(&t.to, work-hitRoom*t.to.limit.Most(d.now))):
 			last = parent
-		case last == parent && (!free(t) || t.to.load > spillUpTo*t.to.limit):
+		case last == parent && (!free(t) || t.to.load > spillUpTo*t.to.limit.Most(d.now)):
 		case d.fill(r, t):
 			return true
 		case r.looked:
@@ -265,6 +265,11 @@
 	if limited && !r.drawn {
 		r.drawn, r.shut = true, d.rng.Float64() >= d.shield.Open(d.now)
 	}
+	tells := limited && !r.shut && !d.s.Family.MergesFills && d.s.Family.NotesGiven == "all"
+	if tells && d.firsts.Look(d.now, t.cold != 0, d.shield.Open(d.now), max(r.looks, len(r.tries))) &&
+		d.affordable(t, 2*d.cost(r)) { // what it lacks is then filled there
+		return d.send(r, t, nil)
+	}
 	for _, s := range d.upper {
 		switch {
 		case s.role == parent && !d.maySource(r, s):
@@ -274,7 +279,7 @@
 			return true
 		}
 	}
-	if !full || r.looked || r.shut {
+	if !full || r.looked || r.looks > 0 || r.shut {
 		return false
 	}
 	r.looked = true
@@ -299,10 +304,9 @@
 	return false
 }
 
-// full tells that a side has as much out as it answers in time. Under a limit that is less than one
-// sending, requests pass by chance: hundreds of routers with one each would be a crowd.
+// full tells that a side has as much out as it answers in time.
 func (d *Router) full(s *side, work float64) bool {
-	return s.load+work > s.limit && (s.load > work/2 || d.rng.Float64()*work > s.limit)
+	return s.limit.Full(d.now, s.load, work, d.rng.Float64)
 }
 
 // swamped tells that a cache has more out than a part of what its link, at its pace, can send within the aim.
@@ -340,7 +344,7 @@
 		(src != nil && (!src.listed || src.State != Ready)) || !d.affordable(src, work) {
 		return false
 	}
-	t.spent += work
+	t.spent.Spend(work)
 
 	c, q := &d.classes[r.Class], &d.s.Services[r.Class]
 	age := time.Duration(0)
@@ -352,7 +356,7 @@
 		}
 	}
 	a := &attempt{id: r.ID, no: len(r.tries), class: r.Class, target: t, source: src, sent: d.now,
-		work: work, told: cmp.Or(r.told, work), expect: seconds(c.latency * work / c.work),
+		work: work, told: cmp.Or(r.told, work), expect: seconds(c.latency.Is * work / c.work.Is),
 		aim: q.Aim + seconds(q.AimStretch*work), out: true, mayRun: true,
 		look: t.ejected || (src != nil && src.ejected), fill: src != nil && d.likelyFill(r, t)}
 	r.tries, r.out, r.waiting = append(r.tries, a), r.out+1, false
@@ -371,7 +375,7 @@
 		get.How |= Renew
 	}
 	if src != nil {
-		src.spent += work
+		src.spent.Spend(work)
 		src.from.out = append(src.from.out, a)
 		get.Source = src.Host
 		if src.role == edge || src.ejected || (r.shut && src.role == parent) {
@@ -442,7 +446,7 @@
 	case o.Settled:
 		d.forget(r)
 	case r.out > 0:
-	case d.now >= r.GiveUpAt:
+	case d.now >= r.GiveUpAt, turnedAway(o) && !d.repeats.May(d.now, r.passOn):
 		d.end(r)
 	case d.lesson(r, a, o):
 		d.hold(r)
@@ -451,6 +455,11 @@
 	}
 }
 
+// turnedAway tells that an attempt has failed as in a crowd: to try again at once adds to it.
+func turnedAway(o Outcome) bool {
+	return o.Result == Refused || o.Result == ConnectFailed || o.Result == TimedOut
+}
+
 // lesson notes what a failure rules out for its request, and tells whether it must wait: who is full stays
 // full for a moment, and to try elsewhere at once doubles fills and load where both are short. Guards
 // against retry storms in any jam. Harm: a request waits though another cache had room.
@@ -473,6 +482,9 @@
 	case Errored, TimedOut, ConnectFailed, Reset:
 		r.avoid = append(r.avoid, a.target)
 	case Miss:
+		if r.looked = r.looked || (src == nil && o.Note == NoteJoined); o.Note != NoteJoined {
+			r.looks = pacing.LooksMost // none fills it: it may be filled at once
+		}
 		return src == nil && r.looked && !a.look
 	}
 	return full
@@ -562,12 +574,12 @@
 }
 
 // cost is what a request counts on budgets and limits, in seconds of sending: never under its class's mean.
-func (d *Router) cost(r *request) float64 { return max(d.classes[r.Class].work, r.told) }
+func (d *Router) cost(r *request) float64 { return max(d.classes[r.Class].work.Is, r.told) }
 
 // largest is the mean sending time of the class with the largest objects, in seconds.
 func (d *Router) largest() float64 {
-	byWork := func(a, b classStats) int { return cmp.Compare(a.work, b.work) }
-	return slices.MaxFunc(d.classes, byWork).work
+	byWork := func(a, b classStats) int { return cmp.Compare(a.work.Is, b.work.Is) }
+	return slices.MaxFunc(d.classes, byWork).work.Is
 }
 
 // throttle keeps the limits of our work out. A limit belongs to what was late or refused: a hit's to the
@@ -590,8 +602,8 @@
 	late := o.After > a.aim
 	switch to := &a.target.to; {
 	case s == to && (o.Note == NoteHit || o.Result != OK):
-		to.late = late || o.Result != OK
-	case a.target.role == edge && o.Result == OK && o.After-o.Waited > a.aim && to.late:
+		to.late.Set(d.now, late || o.Result != OK)
+	case a.target.role == edge && o.Result == OK && o.After-o.Waited > a.aim && to.late.Is(d.now):
 		t, s = a.target, to // hits are late there too, and the source did not keep it waiting
 	}
 	if o.Result == OK && !late && (s == &a.target.to || o.Note == NoteFilledByOrigin) {
@@ -600,15 +612,13 @@
 	if o.Result == TimedOut && d.lost(a) {
 		return // guards hits against refusals beside a cache with room: nothing is crowded
 	}
-	switch {
-	case o.Result != OK || late:
-		top := max(limitFirst*a.work/t.seats, limitMost*(s.load+a.work))
-		beside := max(a.load, s.load+a.work)
-		fit := limitFit * beside * a.aim.Seconds() / max(o.After, a.aim).Seconds()
-		s.limit = max(limitLeast*d.largest()/t.seats, min(s.limit, top)*(1-limitStep), min(s.limit, fit))
-	case s.load+a.work > s.limit/2:
-		s.limit += a.work * limitStep // by work done in time: a low limit recovers within seconds
+	if o.Result == OK && !late {
+		s.limit.Raise(d.now, s.load, a.work)
+		return
 	}
+	top := max(limitFirst*a.work/t.seats, limitMost*(s.load+a.work))
+	fit := limitFit * max(a.load, s.load+a.work) * a.aim.Seconds() / max(o.After, a.aim).Seconds()
+	s.limit.Lower(d.now, top, fit, limitLeast*d.largest()/t.seats)
 }
 
 // blamed is the side that an attempt counts on: a likely fill on its source, a hit on the cache, and what
@@ -629,7 +639,7 @@
 	_, side := blamed(a)
 	should := a.told
 	if a.fill {
-		should += d.waited
+		should += d.waited.Is
 	}
 	due := copyPace*should*math.Exp(max(0, a.target.pace)) + copyAfter*d.s.Services[a.class].Aim.Seconds()
 	return side.good > a.sent && (d.now-a.sent).Seconds() >= due
@@ -644,11 +654,10 @@
 	if o.Result == Cancelled || o.Result == Moot {
 		return // says nothing
 	}
-	switch fill := a.source != nil && a.source.role != edge; {
-	case fill && o.Note == NoteFilledByOrigin: // late by the source, not by the cache or the link
-		d.shield.Answered(d.now, a.sent, o.After > a.aim && o.After-o.Waited <= a.aim)
-	case fill && o.Note == NoteOriginFailed:
-		d.shield.Answered(d.now, a.sent, true)
+	d.repeats.Ended(d.now, o.Result == OK, turnedAway(o))
+	if a.source != nil && a.source.role != edge && (o.Note == NoteFilledByOrigin || o.Note == NoteOriginFailed) {
+		late := o.After > a.aim && o.After-o.Waited <= a.aim // by the source, not by the cache or the link
+		d.shield.Answered(d.now, a.sent, late || o.Note == NoteOriginFailed)
 	}
 	d.throttle(a, o)
 	d.judge(a, o)
@@ -656,20 +665,19 @@
 		d.timed(a)
 	}
 	if src := a.source; o.Note == NoteHit && src != nil && src.cold != 0 { // no fill reached the source
-		src.spent -= max(0, min(src.spent, a.work-d.coldRate(src)*(d.now-a.sent).Seconds()))
+		src.spent.Spend(-max(0, a.work-d.coldRate(src)*(d.now-a.sent).Seconds()))
 	}
 	if o.Result != OK {
 		return
 	}
-	if o.Note == NoteFilledByOrigin {
-		d.waited += (o.Waited.Seconds() - d.waited) * learn
-	}
 	c := &d.classes[a.class]
-	c.latency += (o.After.Seconds() - c.latency) * learn
+	if c.latency.Learn(o.After.Seconds()); o.Note == NoteFilledByOrigin {
+		d.waited.Learn(o.Waited.Seconds())
+	}
 	if r != nil && r.told > 0 {
-		c.work += (r.told - c.work) * learn
+		c.work.Learn(r.told)
 	} else if o.Note == NoteHit || o.Note == NoNote {
-		c.work += (o.After.Seconds() - c.work) * learn
+		c.work.Learn(o.After.Seconds())
 	}
 	t.carried = t.carried*math.Exp(-float64(d.now-t.carriedAt)/float64(carryOver)) + a.work
 	t.carriedAt = d.now
@@ -705,10 +713,8 @@
 		return true
 	}
 	rate := d.coldRate(s)
-	s.spent = max(0, s.spent-rate*(d.now-s.spentAt).Seconds())
-	s.spentAt = d.now
-	burst := rate * d.s.Guarantees.Fall.Seconds() / 2
-	return s.spent == 0 || s.spent+work <= burst
+	spent := s.spent.Spent(d.now, rate)
+	return spent == 0 || spent+work <= rate*d.s.Guarantees.Fall.Seconds()/2
 }
 
 // carriedByLike is what warm servers of like kind carry for us, in transfers: a low estimate of our part.
@@ -748,12 +754,12 @@
 	case src == nil:
 	case o.Note == NoteSourceUnreached:
 		// Quickly: it is down. Late: perhaps crowded, and to eject it would crowd the others in a cascade.
-		if src.missed++; src.ejected || o.Waited < quickly || (src.missed >= 3 && d.spare(src)) {
+		if n := src.missed.Add(d.now); src.ejected || o.Waited < quickly || (n >= 3 && d.spare(src)) {
 			d.eject(src, "source not reached")
 		}
 	case untold, o.Note == NoteSourceRefused, o.Note == NoteSourceLacks, o.Note == NoteOriginFailed,
 		o.Note >= NoteFilled && o.Note <= NoteJoined:
-		src.missed, src.spoke = 0, d.now
+		src.missed, src.spoke = pacing.Streak{}, d.now
 		if src.ejected {
 			d.readmit(src)
 		}
@@ -798,7 +804,7 @@
 
 func (d *Router) readmit(s *server) {
 	d.log("readmit %x after %v", uint64(s.Host), d.now-s.ejectedAt)
-	s.ejected, s.missed, s.backoff = false, 0, 0
+	s.ejected, s.missed, s.backoff = false, pacing.Streak{}, 0
 }
 
 // tick takes attempts that are out for long as samples of pace, and sweeps.
@@ -825,7 +831,7 @@
 	r, t := d.reqs[a.id], a.target
 	if !d.s.Ceilings.SecondCopies || d.s.Services[a.class].Effect != "read_like" || r == nil || a.look ||
 		r.copies >= copiesEach || r.out != r.copies+1 || a.no != len(r.tries)-1 ||
-		d.copies < 1 || !d.lost(a) || t.to.load+2*a.work > t.to.limit {
+		d.copies < 1 || !d.lost(a) || t.to.load+2*a.work > t.to.limit.Most(d.now) {
 		return
 	}
 	if d.send(r, t, nil) {
@@ -888,10 +894,10 @@
 	return !(by[0].host == t && d.valid(r, by[0])) && !(by[1].host == t && d.valid(r, by[1]))
 }
 
-// valid tells that neither a purge nor a restart has voided what the table says.
+// valid tells that neither age, nor a purge, nor a restart has voided what the table says.
 func (d *Router) valid(r *request, h holder) bool {
 	p, purged := d.lastPurge(r)
-	return h.at >= h.host.void && !(purged && h.at <= p.told)
+	return d.now-h.at <= seenAge && h.at >= h.host.void && !(purged && h.at <= p.told)
 }
 
 // lastPurge is the latest purge that touches the request.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"shaleyard/internal/pacing"
 )
 
 func simpleWorld(t *testing.T, change func(*Settings)) *world {
@@ -449,7 +451,7 @@
 func TestBeyondTheFillLimitAsksForWhatIsHeld(t *testing.T) {
 	w := simpleWorld(t, nil)
 	for _, s := range w.r.upper {
-		s.from.limit = 0
+		s.from.limit = pacing.NewLimit(w.r.now, 1e-9)
 	}
 	w.answer = func(w *world, o *open, n int) (Result, Note, time.Duration) {
 		if o.Object == 42 {
@@ -685,12 +687,12 @@
 			return func() { r.Class, r.tries = 0, nil }
 		},
 		"cold target": func() func() {
-			edgeA.cold, edgeA.spent, edgeA.spentAt = w.now, 1e3, w.now
-			return func() { edgeA.cold, edgeA.spent = 0, 0 }
+			edgeA.cold, edgeA.spent = w.now, usedUp(w.now)
+			return func() { edgeA.cold, edgeA.spent = 0, pacing.Bucket{} }
 		},
 		"cold source": func() func() {
-			par.cold, par.spent, par.spentAt = w.now, 1e3, w.now
-			return func() { par.cold, par.spent = 0, 0 }
+			par.cold, par.spent = w.now, usedUp(w.now)
+			return func() { par.cold, par.spent = 0, pacing.Bucket{} }
 		},
 	} {
 		undo := f()
@@ -718,7 +720,7 @@
 	if s.to.load > 1e-9 {
 		t.Errorf("%.1f s of fills count on the cache", s.to.load)
 	}
-	s.to.limit, s.to.load = 4, 4
+	s.to.limit, s.to.load = pacing.NewLimit(w.r.now, 4), 4
 	n := len(w.sent)
 	if w.read(2, 42, 0); len(w.sent) != n+1 || w.sent[n].Host != s.Host {
 		t.Errorf("a hit was held back: %+v", w.sent[n:])
@@ -753,7 +755,7 @@
 			r.Handle(now, Members{Kind: Cached, List: list})
 			routers = append(routers, r)
 		}
-		work := routers[0].classes[0].work
+		work := routers[0].classes[0].work.Is
 		for step := range 10 {
 			for i, r := range routers {
 				id := uint32(step*seats + i + 1)
@@ -832,7 +834,7 @@
 	w := simpleWorld(t, nil)
 	w.read(1, 42, 0)
 	first := w.r.servers[w.sent[0].Source]
-	first.from.limit, first.from.load = 1, 1
+	first.from.limit, first.from.load = pacing.NewLimit(w.r.now, 1), 1
 	w.purge(Purge{Object: 42}) // so that it is a likely fill again
 	w.read(2, 42, 0)
 	if f := w.sent[1]; f.Source == first.Host || w.members[f.Source].Kind != 1 || f.Host != w.sent[0].Host {
@@ -847,7 +849,7 @@
 	for _, allowed := range []bool{true, false} {
 		w := simpleWorld(t, func(s *Settings) { s.Family.BypassAllowed = allowed })
 		for _, s := range w.r.caches {
-			s.to.limit, s.to.load = 1, 1
+			s.to.limit, s.to.load = pacing.NewLimit(w.r.now, 1), 1
 		}
 		w.read(1, 42, 0)
 		if straight := len(w.sent) == 1 && w.members[w.sent[0].Host].Kind == 1; straight != allowed {
@@ -919,10 +921,10 @@
 			cache.heard = 20
 		}
 		w.r.throttle(&attempt{target: cache, source: src, sent: 10, work: 0.1}, Outcome{Result: TimedOut})
-		if blamed := !math.IsInf(cache.to.limit, 1); blamed == speaks {
+		if blamed := !math.IsInf(cache.to.limit.Most(w.r.now), 1); blamed == speaks {
 			t.Errorf("the cache speaks: %v, and is blamed: %v", speaks, blamed)
 		}
-		if blamed := !math.IsInf(src.from.limit, 1); blamed != speaks {
+		if blamed := !math.IsInf(src.from.limit.Most(w.r.now), 1); blamed != speaks {
 			t.Errorf("the cache speaks: %v, and its source is blamed: %v", speaks, blamed)
 		}
 	}
@@ -940,7 +942,7 @@
 	}{
 		{"lost", func(*world, *request) {}, 0, copiesEach},
 		{"silent way", func(_ *world, r *request) { way(r).good = 0 }, 0, 0},
-		{"crowd", func(_ *world, r *request) { r.tries[0].target.to.limit = 0.01 }, 0, 0},
+		{"crowd", func(w *world, r *request) { r.tries[0].target.to.limit = pacing.NewLimit(w.r.now, 1e-6) }, 0, 0},
 		{"none saved up", func(w *world, _ *request) { w.r.copies = 0 }, 0, 0},
 		{"unsafe", func(*world, *request) {}, 3, 0},
 	} {
@@ -1024,7 +1026,7 @@
 		limits := 0
 		for _, s := range w.r.order {
 			for _, x := range []*side{&s.to, &s.from} {
-				if !math.IsInf(x.limit, 1) {
+				if !math.IsInf(x.limit.Most(w.r.now), 1) {
 					limits++
 				}
 			}
@@ -1046,7 +1048,7 @@
 		w.r.rank(w.r.caches, 42)
 		first, next := w.r.caches[0], w.r.caches[1]
 		for i, c := range w.r.caches {
-			c.to.limit = 8
+			c.to.limit = pacing.NewLimit(w.r.now, 8)
 			if c.to.load = 8; i == 1 {
 				c.to.load = tc.load
 			}
@@ -1085,13 +1087,13 @@
 		w := simpleWorld(t, nil)
 		cache, src := w.r.servers[hostEdge], w.r.servers[hostParent]
 		w.r.throttle(&attempt{target: cache, work: 0.1, aim: 650 * ms}, Outcome{Result: OK, Note: NoteHit, After: tc.hitsAfter})
-		before := cache.to.limit
+		before := cache.to.limit.Most(w.r.now)
 		w.r.throttle(&attempt{target: cache, source: src, fill: true, work: 0.1, aim: 650 * ms},
 			Outcome{Result: OK, Note: NoteFilledByOrigin, After: 10 * time.Second, Waited: tc.waited})
-		if down := cache.to.limit < before; down != tc.cache {
+		if down := cache.to.limit.Most(w.r.now) < before; down != tc.cache {
 			t.Errorf("%s: cache blamed: %v, want %v", tc.name, down, tc.cache)
 		}
-		if down := !math.IsInf(src.from.limit, 1); down == tc.cache {
+		if down := !math.IsInf(src.from.limit.Most(w.r.now), 1); down == tc.cache {
 			t.Errorf("%s: source blamed: %v, want %v", tc.name, down, !tc.cache)
 		}
 	}
@@ -1131,8 +1133,8 @@
 	work := 2 * w.r.largest()
 	for _, load := range []float64{400 * work, 200 * work} {
 		late(load, work)
-		if want := limitFit * load / 4; math.Abs(cache.to.limit-want) > 1e-9 {
-			t.Errorf("after a crowd of %v: limit %v, want %v", load, cache.to.limit, want)
+		if want := limitFit * load / 4; math.Abs(cache.to.limit.Most(w.r.now)-want) > 1e-9 {
+			t.Errorf("after a crowd of %v: limit %v, want %v", load, cache.to.limit.Most(w.r.now), want)
 		}
 	}
 }
@@ -1187,7 +1189,7 @@
 func TestLimitsSpareWhatOnlyTheOriginCanDo(t *testing.T) {
 	w := simpleWorld(t, nil)
 	o := w.r.servers[hostOrigin]
-	o.from.limit, o.from.load = 0.1, 5
+	o.from.limit, o.from.load = pacing.NewLimit(w.r.now, 0.1), 5
 	n := len(w.acts)
 	w.read(1, 42, 2)
 	for _, a := range w.acts[n:] {
@@ -1197,3 +1199,107 @@
 	}
 	t.Errorf("held back: %v", w.acts[n:])
 }
+
+// usedUp is a cold budget of which much more has been spent than it has.
+func usedUp(now Time) (b pacing.Bucket) {
+	b.Spent(now, 0)
+	b.Spend(1e3)
+	return b
+}
+
+// Where caches don't join fills, each request that misses during a fill begins another. A cold cache is asked what it
+// holds first; told that a fill is under way the request waits for that, told that none is it brings a source at once.
+func TestFirstFillsLookBeforeTheyFill(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		change       func(*Settings)
+		cold, busy   bool // the cache has just started; another's fill is under way in it
+		looks, fills int  // looks: at least, as the cold budget has them wait, too
+	}{
+		{"none under way", nil, true, false, 1, 1},
+		{"one under way", nil, true, true, 2, 0},
+		{"warm cache", nil, false, false, 0, 1},
+		{"caches join fills", func(s *Settings) { s.Family.MergesFills = true }, true, false, 0, 1},
+		{"caches tell nothing", func(s *Settings) { s.Family.NotesGiven = "off" }, true, false, 0, 1},
+	} {
+		w := simpleWorld(t, func(s *Settings) {
+			s.Family.MergesFills = false
+			if tc.change != nil {
+				tc.change(s)
+			}
+		})
+		w.read(1, 41, 0) // the first request begins the director's own first seconds
+		w.run(w.now + 10*time.Second)
+		if tc.cold {
+			list := siteMembers(4)
+			for i := range list {
+				if list[i].Kind == 0 {
+					list[i].Started = w.now
+				}
+			}
+			w.list(Full, list...)
+		}
+		before, done := len(w.sent), w.now+60*ms
+		w.answer = func(w *world, o *open, n int) (Result, Note, time.Duration) {
+			switch looks := o.tries[n].source == o.tries[n].host; {
+			case looks && tc.busy && w.now >= done:
+				return OK, NoteHit, ms
+			case looks && tc.busy:
+				return Miss, NoteJoined, ms
+			case looks:
+				return Miss, NoNote, ms
+			}
+			return OK, NoteFilled, 40 * ms
+		}
+		w.read(2, 42, 0)
+		w.run(w.now + 300*ms)
+		looks, fills := 0, 0
+		for _, f := range w.sent[before:] {
+			if f.Source == f.Host {
+				looks++
+			} else {
+				fills++
+			}
+		}
+		if looks < tc.looks || (tc.looks == 0 && looks > 0) || fills != tc.fills || !w.reqs[2].ended {
+			t.Errorf("%s: %d looks and %d fills, want %d at least and %d; ended: %v", tc.name, looks, fills, tc.looks, tc.fills, w.reqs[2].ended)
+		}
+		w.check()
+	}
+}
+
+// Seen on join+mass: attempts for a request rose to 2.4 while caches refused, and stayed there. In a crowd the budget
+// ends, and what is over is refused at once; a repayment that provably never ran is tried on.
+func TestFurtherAttemptsHaveABudget(t *testing.T) {
+	w := simpleWorld(t, nil)
+	w.answer = func(w *world, o *open, n int) (Result, Note, time.Duration) { return Refused, refusalNote(o), 5 * ms }
+	for id := uint32(1); id <= 60; id++ {
+		w.read(id, uint64(id), 0)
+		w.run(w.now + 20*ms)
+	}
+	w.run(w.now + 10*time.Second)
+	tries := 0
+	for id := uint32(31); id <= 60; id++ {
+		tries += len(w.reqs[id].tries)
+		if !w.reqs[id].ended {
+			t.Errorf("request %d not ended", id)
+		}
+	}
+	if tries > 45 {
+		t.Errorf("%d attempts for 30 requests while all are refused", tries)
+	}
+	pay := w.read(100, 100, 3)
+	w.run(w.now + 2*time.Second)
+	if len(pay.tries) < 3 {
+		t.Errorf("a repayment that never ran got %d attempts", len(pay.tries))
+	}
+	w.check()
+}
+
+// refusalNote is what a cache tells with a refusal: fills find no slot.
+func refusalNote(o *open) Note {
+	if o.Class == 3 {
+		return NoNote
+	}
+	return NoteNoFillSlot
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -28,33 +28,35 @@
 type server struct {
 	Member
 	role               role
-	sized              bool    // its weight stands for its capacity in transfers
-	listed             bool    // in the list and not gone
-	far                bool    // a parent of another hub
-	score              float64 // rank: by hash and weight, best highest
-	to, from           side    // with it as target, and as source
-	ejected, looking   bool    // out of use; a look is out
-	ejectedAt, until   Time    // ejected: since when; no look before
-	void               Time    // what the table says of its holdings from before is void
-	missed             int     // fills from it that failed since its last sign of life
-	heard, spoke       Time    // its last answer as target, and as source
+	sized              bool          // its weight stands for its capacity in transfers
+	listed             bool          // in the list and not gone
+	far                bool          // a parent of another hub
+	score              float64       // rank: by hash and weight, best highest
+	to, from           side          // with it as target, and as source
+	ejected, looking   bool          // out of use; a look is out
+	ejectedAt, until   Time          // ejected: since when; no look before
+	void               Time          // what the table says of its holdings from before is void
+	missed             pacing.Streak // fills from it that failed since its last sign of life
+	heard, spoke       Time          // its last answer as target, and as source
 	backoff            time.Duration
 	pace               float64 // logarithm of answer times over what they should be, a running mean
 	seats              float64 // routers that may send to it
 	coldFrom, multiple float64 // share of its capacity at a cold start; times of it at which it falls over
 	ramp               time.Duration
-	cold               Time    // start of a cold life, as listed or as supposed; 0: warm
-	sending            float64 // seconds of sending out at it as target
-	spent, carried     float64 // seconds of sending: cold budget in use; lately done for us
-	spentAt, carriedAt Time
+	cold               Time          // start of a cold life, as listed or as supposed; 0: warm
+	sending            float64       // seconds of sending out at it as target
+	spent              pacing.Bucket // seconds of sending: cold budget in use
+	carried            float64       // and lately done for us
+	carriedAt          Time
 }
 
 // side is a server in one of its two parts, as target or as source.
 type side struct {
-	out         []*attempt
-	late        bool    // its latest hit was late, or has failed
-	good        Time    // when the latest attempt was sent that came in time, over the whole way
-	load, limit float64 // seconds of sending out and bound for it: hits for a target, likely fills for a source
+	out   []*attempt
+	late  pacing.Seen  // its latest hit was late, or has failed
+	good  Time         // when the latest attempt was sent that came in time, over the whole way
+	load  float64      // seconds of sending out and bound for it: hits for a target, likely fills for a source
+	limit pacing.Limit // of that
 }
 
 // attempt is one try of a request.
@@ -86,6 +88,7 @@
 	passOn          bool    // never kept
 	since           Time
 	looked          bool      // asked for what is held alone
+	looks           int       // for what is held, LooksMost: enough
 	drawn, shut     bool      // whether the origin may be asked was drawn; it may not
 	asked           bool      // masters were asked
 	copies          int       // second copies sent
@@ -118,7 +121,7 @@
 type purge struct{ made, told Time }
 
 // classStats are running means of a class, seconds: sending time, and time to an answer.
-type classStats struct{ work, latency float64 }
+type classStats struct{ work, latency pacing.Mean }
 
 // Router decides for one instance. It is not safe for concurrent use.
 type Router struct {
@@ -134,13 +137,15 @@
 	cur, prev     map[objectPart]*entry // the table's two generations
 	purges        map[purgeKey]purge
 	classes       []classStats
-	pace          float64 // of the fastest of our caches
-	copies        float64 // second copies that may be sent
-	waited        float64 // seconds that fills by the origin wait for their first byte, a running mean
+	pace          float64     // of the fastest of our caches
+	copies        float64     // second copies that may be sent
+	waited        pacing.Mean // seconds that fills by the origin wait for their first byte, a running mean
 	started       bool
 	turned, swept Time
 	logAt         Time
 	asking        []*request     // waiting for far masters
 	shield        *pacing.Shield // of the origin, against fills
+	repeats       pacing.Repeats // what further attempts may still be made
+	firsts        pacing.Firsts  // whether a likely miss first asks for what is held
 	notZero       bool           // a lower-numbered router of our location was heard of
 }
