--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -96,7 +96,7 @@
 	"list-well": "list", "list-down": "list", "list-hang": "list", "list-half": "list", "list-slow": "list",
 	"list-older": "list", "list-break": "list",
 	"replace": "caches", "replace-parents": "parents", "drain": "caches", "kill-caches": "caches",
-	"silence-caches": "caches", "purge": "", "burst": "",
+	"silence-caches": "caches", "origin-slow": "origin", "purge": "", "burst": "",
 	"cut": "link", "silence": "link", "one-way": "link", "delay": "link", "reset": "link", "drip": "link",
 }
 
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -37,6 +37,7 @@
 	servers map[string]*server
 	caches  []*server // as listed, in order
 	parents []*server
+	origin  *server
 	next    int // of the names of new servers
 	err     error
 	crowd   *crowd
@@ -152,6 +153,7 @@
 	if err != nil {
 		return err
 	}
+	l.origin = origin
 	all := append(slices.Concat(l.caches, l.parents), origin)
 	for _, s := range all {
 		l.record.add(Event{Kind: "member", Who: s.name, What: "ready", N: 1})
@@ -286,9 +288,16 @@
 	for i, s := range l.x.Steps {
 		at := begin.Add(time.Duration(s.At * float64(time.Second)))
 		do, undo := l.step(s, rand.New(rand.NewPCG(l.x.Seed, uint64(i)+100)))
-		script = append(script, due{at, do})
+		noted := func(what string, f func() error) func() error {
+			return func() error {
+				err := f()
+				l.record.add(Event{Kind: "step", Who: s.Do, What: what, N: i})
+				return err
+			}
+		}
+		script = append(script, due{at, noted("done", do)})
 		if s.For > 0 && undo != nil {
-			script = append(script, due{at.Add(time.Duration(s.For * float64(time.Second))), undo})
+			script = append(script, due{at.Add(time.Duration(s.For * float64(time.Second))), noted("undone", undo)})
 		}
 	}
 	slices.SortStableFunc(script, func(a, b due) int { return a.at.Compare(b.at) })
@@ -416,6 +425,8 @@
 		return set(true), set(false)
 	case "purge":
 		return plain(func() { l.purge(rng) }), nil
+	case "origin-slow":
+		return plain(func() { l.origin.pace(factor) }), plain(func() { l.origin.pace(1) })
 	case "burst":
 		return plain(func() { l.crowd.times(factor) }), plain(func() { l.crowd.times(1) })
 	}
--- a/internal/lab/servers.go
+++ b/internal/lab/servers.go
@@ -61,6 +61,7 @@
 	conns   map[net.Conn]bool
 	arrived []arrival // within the last fall, for falling over
 	calls   []time.Time
+	part    float64 // of its capacity that the origin has now
 }
 
 type arrival struct {
@@ -70,7 +71,7 @@
 
 func (l *Lab) newServer(name string, t tier, spec ServerSpec, addr *net.TCPAddr, cold bool) (*server, error) {
 	s := &server{lab: l, name: name, tier: t, spec: spec, addr: addr, state: "ready", since: time.Now(), cold: cold,
-		held: map[string]copyOf{}, under: map[string]*fill{}, conns: map[net.Conn]bool{}}
+		part: 1, held: map[string]copyOf{}, under: map[string]*fill{}, conns: map[net.Conn]bool{}}
 	ln, err := net.ListenTCP("tcp", addr)
 	if err != nil {
 		return nil, err
@@ -354,10 +355,10 @@
 		return true, "MISS", cp
 	case word == "OK":
 		return true, "MISS_ORIGIN", cp
-	case word == "BUSY":
-		return false, "UP_BUSY", copyOf{}
 	case note == "UP_BUSY" || note == "ORIGIN_ERR":
 		return false, "ORIGIN_ERR", copyOf{}
+	case word == "BUSY":
+		return false, "UP_BUSY", copyOf{}
 	}
 	return false, "UP_MISS", copyOf{}
 }
@@ -370,7 +371,7 @@
 	for now.Sub(s.calls[0]) > time.Second {
 		s.calls = s.calls[1:]
 	}
-	busy := float64(len(s.calls)) > s.lab.x.Origin.PerSecond
+	busy := float64(len(s.calls)) > s.lab.x.Origin.PerSecond*s.part
 	s.mu.Unlock()
 	if busy {
 		s.lab.record.add(Event{Kind: "origin", What: "busy", Object: fields["asset"]})
@@ -389,6 +390,13 @@
 	return "OK", note, copyOf{since: now}
 }
 
+// pace sets the part of its capacity that the origin has.
+func (s *server) pace(part float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.part = part
+}
+
 // purge drops what is older.
 func (s *server) purge(object string) {
 	s.mu.Lock()
--- a/internal/labcheck/figures.go
+++ b/internal/labcheck/figures.go
@@ -9,7 +9,7 @@
 // FigureNames are the figures that a verdict has.
 var FigureNames = []string{"list_peak_ratio", "list_calls_per_start", "list_timeouts", "list_calls", "cold_budget_worst",
 	"origin_fetches_per_object", "origin_busy", "ready_ms_p99", "served_share", "served_share_all", "refused_share",
-	"attempts_per_request", "conns_turned_away", "answer_ms_p50", "answer_ms_p99", "lag_ms_max", "requests"}
+	"attempts_per_request", "attempts_after", "conns_turned_away", "answer_ms_p50", "answer_ms_p99", "lag_ms_max", "requests"}
 
 const (
 	firstSpan = 20_000.0 // of the load, that served_share counts
@@ -17,6 +17,7 @@
 	leastSpan = 1_500.0  // of calls, over which the mean of a start is taken
 	bin       = 100.0
 	callsSpan = 3_000.0 // of a director's calls that belong to its start
+	calmsIn   = 5_000.0 // after the end of the last trouble, from when on attempts_after counts
 )
 
 // figures reads all figures but those that come of a rule.
@@ -80,6 +81,7 @@
 		}
 	}
 	f["requests"] = requests
+	f["attempts_after"] = r.attemptsAfter(asks)
 	f["origin_fetches_per_object"] = over(fetches, float64(len(objects)))
 	f["ready_ms_p99"] = float64(ready.ValueAtQuantile(99))
 	f["served_share"] = min(1, over(firstServed, first))
@@ -91,6 +93,27 @@
 	return f
 }
 
+// attemptsAfter is how many attempts a request takes once the last trouble has been over for a while.
+func (r *record) attemptsAfter(asks map[string]line) float64 {
+	end, attempts, requests := 0.0, 0.0, 0.0
+	for _, l := range r.lines {
+		if l.Kind == "step" && (l.What == "undone" || end == 0) {
+			end = l.MS
+		}
+	}
+	for _, q := range asks {
+		if q.MS >= end+calmsIn {
+			requests++
+		}
+	}
+	for _, l := range r.lines {
+		if q, known := asks[l.Ref]; known && l.Kind == "req" && q.MS >= end+calmsIn {
+			attempts++
+		}
+	}
+	return over(attempts, requests)
+}
+
 func over(a, b float64) float64 {
 	if b == 0 {
 		return 0
