--- a/cmd/yardlab/main.go
+++ b/cmd/yardlab/main.go
@@ -84,6 +84,7 @@
 	File      string  `arg:"" help:"The experiment." type:"existingfile"`
 	Seed      *uint64 `help:"In place of the file's."`
 	Directors int     `help:"In place of the file's."`
+	Load      float64 `default:"1" help:"Times the clients' load: what a machine can't play says nothing of the program."`
 	Binary    string  `help:"The program." default:"bin/shaleyard"`
 	Baseline  string  `help:"Another build, which plays the same seed in turn." type:"existingfile"`
 	Out       string  `help:"Folder for record.jsonl, result.json and the directors' logs; made if need be."`
@@ -115,6 +116,10 @@
 		}
 		x.Scale(c.Directors)
 	}
+	if !(c.Load > 0 && c.Load <= 100) {
+		return fmt.Errorf("--load: %v is not within 0 and 100", c.Load)
+	}
+	x.Clients.PerSecond *= c.Load
 	if _, err := os.Stat(c.Binary); err != nil {
 		return fmt.Errorf("--binary: %w", err)
 	}
--- a/cmd/yardlab/main_test.go
+++ b/cmd/yardlab/main_test.go
@@ -37,6 +37,7 @@
 		{[]string{"check", good + "x"}, unusable, "no such file"},
 		{[]string{"run", odd}, unusable, "odd.toml:2: speed: no such key"},
 		{[]string{"run", "../../experiments/skew.toml", "--directors", "500"}, unusable, "--directors: 500"},
+		{[]string{"run", "../../experiments/skew.toml", "--load", "0"}, unusable, "--load: 0"},
 		{[]string{"run", "../../experiments/skew.toml", "--binary", good + "x"}, unusable, "--binary"},
 		{[]string{"list", "../../experiments"}, pass, "stopped-half"},
 		{[]string{"list", filepath.Dir(odd)}, unusable, "odd.toml:2"},
--- a/internal/labcheck/check_test.go
+++ b/internal/labcheck/check_test.go
@@ -161,6 +161,22 @@
 	}
 }
 
+// Only requests that are asked 5 s after the end of the last trouble count, with all their attempts.
+func TestAttemptsAfterATrouble(t *testing.T) {
+	more := []string{`{"ms":2000,"kind":"step","who":"origin-slow","what":"done"}`, `{"ms":4000,"kind":"step","who":"origin-slow","what":"undone"}`}
+	for i, at := range []int{8990, 9000, 9500, 9600} {
+		ref := fmt.Sprintf("a%d", i)
+		more = append(more, fmt.Sprintf(`{"ms":%d,"kind":"ask","ref":%q,"director":"d0","class":"media","object":"o9","allow":1000}`, at, ref),
+			fmt.Sprintf(`{"ms":%d,"kind":"answer","ref":%q,"director":"d0","what":"refused"}`, at+50, ref))
+		for range 4 - i {
+			more = append(more, fmt.Sprintf(`{"ms":%d,"kind":"req","who":"c1","director":"d0","ref":%q,"object":"o9","work":0.001}`, at+10, ref))
+		}
+	}
+	if got := judge(t, "", more...).Figures["attempts_after"]; got != 2 {
+		t.Errorf("%v attempts for a request, want (3+2+1)/3", got)
+	}
+}
+
 func TestWhatIsNoRecordIsAnError(t *testing.T) {
 	for _, text := range []string{"{", "{}", `{"ms":"x"}`} {
 		if _, err := Check(strings.NewReader(text)); err == nil || !strings.Contains(err.Error(), "line 1") {
