Open the origin's shield again at once behind a single late fill

Change: the first answer in time that was sent behind a single late one opens all; behind two in a row it opens step by step as before.

--- a/internal/pacing/shield.go
+++ b/internal/pacing/shield.go
@@ -18,7 +18,8 @@
 // Shield decides which part of the fills may go on to a source that all directors share and none of them sees: the
 // origin, behind parents that may or may not hold an object. Each director has few answers of its own, and when
 // hundreds wait for the source at once, an answer is late by seconds before any of them has learnt of it. So one
-// answer that the source has made late lowers the part at once; answers in time raise it. Where fewer than about a
+// answer that the source has made late lowers the part at once; answers in time raise it, and one that was sent behind
+// a single late one opens all again, as that was chance. Where fewer than about a
 // quarter are late, it stays open: a source that serves most in time is not spared at the price of refusals.
 // Without answers it opens with time, slowly.
 //
@@ -30,6 +31,7 @@
 	open float64
 	at   Time // when open was right
 	cut  Time // when it was last lowered: what was sent before tells of the same queue again
+	sure bool // it was lowered by what was sent behind a late answer, too: one may be chance, two are a queue
 	// worst is how long what lowered it had taken by then.
 	worst time.Duration
 }
@@ -55,9 +57,13 @@
 func (s *Shield) Answered(now, sent Time, late bool) {
 	switch open, wait := s.Open(now), now-sent; {
 	case late && (sent >= s.cut || wait > 2*s.worst):
+		s.sure = open < 1
 		s.open, s.cut, s.worst = max(openLeast, open*s.to), now, wait
 	case sent < s.cut: // of the queue that is known, and not twice as long as was known
+	case !s.sure:
+		s.open = 1
 	default:
 		s.open = min(1, open*opensUp)
+		s.sure = s.open < 1
 	}
 }
--- a/internal/pacing/shield_test.go
+++ b/internal/pacing/shield_test.go
@@ -58,6 +58,24 @@
 	}
 }
 
+// A late answer may be chance: the first in time that was sent behind it opens all again. Where what was sent behind it
+// is late, too, it was a queue, and in-time answers open it step by step.
+func TestShieldForgetsAFalseAlarm(t *testing.T) {
+	s, now := NewShield(300), 10*time.Second
+	s.Answered(now, now-time.Second, true)
+	s.Answered(now+time.Second, now+900*time.Millisecond, false)
+	if got := s.Open(now + time.Second); got != 1 {
+		t.Errorf("open for %v behind a false alarm", got)
+	}
+	now += time.Minute
+	s.Answered(now, now-time.Second, true)
+	s.Answered(now+time.Second, now, true)
+	s.Answered(now+2*time.Second, now+1900*time.Millisecond, false)
+	if got := s.Open(now + 2*time.Second); got > 0.4 {
+		t.Errorf("open for %v by one answer in time behind a queue", got)
+	}
+}
+
 // Whatever it is told, in whatever order, the part stays between the least and all, and only late answers lower it.
 func TestShieldKeepsItsBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
