--- a/rules/rules.go
+++ b/rules/rules.go
@@ -182,7 +182,7 @@
 	}
 	if e.Started != 0 && e.Started != s.Started {
 		s.cold = e.Started
-		s.spent.Spend(d.rng.Float64()*d.largest() - s.spent.Spent(d.now, 0)) // random: all routers hear at once
+		s.spent.Spend(d.rng.Float64()*d.largest() - s.spent.Spent(d.now, 0)) // all hear at once
 	}
 	f, g := &d.s.Family, &d.s.Guarantees
 	s.Member, s.listed, s.seats = e, e.State != Gone, float64(max(d.s.Balancers, 1))
@@ -430,10 +430,7 @@
 	a.target.sending -= a.work
 	_, side := blamed(a)
 	side.load -= a.work
-	switch o.Result {
-	case Refused, ConnectFailed, Moot, Miss:
-		a.mayRun = false
-	}
+	a.mayRun = !slices.Contains([]Result{Refused, ConnectFailed, Moot, Miss}, o.Result)
 	d.learn(a, r, o)
 	if r == nil {
 		return
@@ -655,9 +652,10 @@
 		return // says nothing
 	}
 	d.repeats.Ended(d.now, o.Result == OK, turnedAway(o))
-	if a.source != nil && a.source.role != edge && (o.Note == NoteFilledByOrigin || o.Note == NoteOriginFailed) {
+	failed := o.Note == NoteOriginFailed
+	if a.source != nil && a.source.role != edge && (failed || o.Note == NoteFilledByOrigin) {
 		late := o.After > a.aim && o.After-o.Waited <= a.aim // by the source, not by the cache or the link
-		d.shield.Answered(d.now, a.sent, late || o.Note == NoteOriginFailed)
+		d.shield.Answered(d.now, a.sent, late || failed)
 	}
 	d.throttle(a, o)
 	d.judge(a, o)
