--- a/internal/lab/servers.go
+++ b/internal/lab/servers.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -64,6 +66,9 @@
 	part    float64 // of its capacity that the origin has now
 }
 
+// addressFree is for how long a server waits for the address of the one that it replaces.
+const addressFree = 2 * time.Second
+
 type arrival struct {
 	at   time.Time
 	work float64
@@ -73,6 +78,11 @@
 	s := &server{lab: l, name: name, tier: t, spec: spec, addr: addr, state: "ready", since: time.Now(), cold: cold,
 		part: 1, held: map[string]copyOf{}, under: map[string]*fill{}, conns: map[net.Conn]bool{}}
 	ln, err := net.ListenTCP("tcp", addr)
+	// The old process's socket is closed once its accept has returned, which may be a moment after it was told to.
+	for until := time.Now().Add(addressFree); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+		ln, err = net.ListenTCP("tcp", addr)
+	}
 	if err != nil {
 		return nil, err
 	}
