--- a/internal/labcheck/figures.go
+++ b/internal/labcheck/figures.go
@@ -97,7 +97,7 @@
 func (r *record) attemptsAfter(asks map[string]line) float64 {
 	end, attempts, requests := 0.0, 0.0, 0.0
 	for _, l := range r.lines {
-		if l.Kind == "step" && (l.What == "undone" || end == 0) {
+		if l.Kind == "step" { // done, and nothing undoes it; or undone
 			end = l.MS
 		}
 	}
--- a/internal/pacing/conns_test.go
+++ b/internal/pacing/conns_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// crowd is hundreds of directors at one peer that takes so many connections in all.
+// crowdOf is so many directors at one peer.
 func crowdOf(n int) []Conns {
 	all := make([]Conns, n)
 	for i := range all {
--- a/internal/pacing/shield.go
+++ b/internal/pacing/shield.go
@@ -19,8 +19,8 @@
 // origin, behind parents that may or may not hold an object. Each director has few answers of its own, and when
 // hundreds wait for the source at once, an answer is late by seconds before any of them has learnt of it. So one
 // answer that the source has made late lowers the part at once; answers in time raise it, and one that was sent behind
-// a single late one opens all again, as that was chance. Where fewer than about a
-// quarter are late, it stays open: a source that serves most in time is not spared at the price of refusals.
+// a single late one opens all again, as that was chance. Where fewer than about a quarter are late, it stays open: a
+// source that serves most in time is not spared at the price of refusals.
 // Without answers it opens with time, slowly.
 //
 // Its decision is a part, not a number of places: a director that has one such fill out every other second has no
