Read the director of a laboratory connection under its lock

The goroutine that reads from a connection notes whose it is (belongs, under the lock) while those that answer on it read the same field without the lock (Write, arrives) to learn what its link suffers. The steps of the script, too, read the lists of caches and parents that a replacement was writing to.

Change: the fault of a connection is read whole under the lock; the lists are copied under theirs; let go are the caches that were silenced, also where another stands in their place by then.

--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -48,10 +48,12 @@
 	}
 }
 
-func (f *faults) of(link string, director int) fault {
+// of is the fault that a connection suffers now. It is read by all that answer on the connection, while the one
+// that reads from it may just have learnt whose it is.
+func (f *faults) of(w *wire) fault {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.links[link][director]
+	return f.links[w.link][w.director]
 }
 
 // wire is a connection that suffers the faults of its link. The director behind it may become known later.
@@ -59,7 +61,7 @@
 	net.Conn
 	f        *faults
 	link     string
-	director int
+	director int // guarded by f.mu
 }
 
 func (f *faults) wrap(c net.Conn, link string, director int) *wire {
@@ -87,7 +89,7 @@
 
 // arrives tells whether what was read has arrived.
 func (w *wire) arrives() bool {
-	switch x := w.f.of(w.link, w.director); x.kind {
+	switch x := w.f.of(w); x.kind {
 	case "cut":
 		reset(w.Conn)
 		return false
@@ -101,7 +103,7 @@
 
 // Write passes on what the link lets through.
 func (w *wire) Write(b []byte) (int, error) {
-	x := w.f.of(w.link, w.director)
+	x := w.f.of(w)
 	switch x.kind {
 	case "cut":
 		reset(w.Conn)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -403,19 +403,26 @@
 	case "replace", "replace-parents":
 		return func() error { return l.replace(s, rng) }, nil
 	case "drain":
-		return plain(func() { l.drain(draw(rng, len(l.caches), s.Share)) }), nil
+		return plain(func() {
+			for _, c := range l.cachesOf(draw(rng, len(l.caches), s.Share)) {
+				l.tell(c, "draining")
+			}
+		}), nil
 	case "kill-caches":
 		return plain(func() {
-			for _, i := range draw(rng, len(l.caches), s.Share) {
-				l.caches[i].down("down")
+			for _, c := range l.cachesOf(draw(rng, len(l.caches), s.Share)) {
+				c.down("down")
 			}
 		}), nil
 	case "silence-caches":
 		drawn := draw(rng, len(l.caches), s.Share)
+		var were []*server // let go are those that were silenced, also where they have been replaced
 		set := func(on bool) func() error {
 			return plain(func() {
-				for _, i := range drawn {
-					c := l.caches[i]
+				if on {
+					were = l.cachesOf(drawn)
+				}
+				for _, c := range were {
 					c.mu.Lock()
 					c.silent = on
 					c.mu.Unlock()
@@ -459,10 +466,14 @@
 	l.list.publish(func(n int) string { return newsOf(n, false, s) }, Event{Who: s.name, What: state})
 }
 
-func (l *Lab) drain(ids []int) {
+// cachesOf are the caches now in these places of the list.
+func (l *Lab) cachesOf(ids []int) (list []*server) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, i := range ids {
-		l.tell(l.caches[i], "draining")
+		list = append(list, l.caches[i])
 	}
+	return list
 }
 
 // replace drains servers in turn, ends each, and starts a cold one in its place: every other at the old address.
@@ -473,6 +484,8 @@
 	}
 	ids := draw(rng, len(*group), s.Share)
 	gap := time.Duration(s.Over / float64(len(ids)) * float64(time.Second))
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for k, i := range ids {
 		old := (*group)[i]
 		time.AfterFunc(time.Duration(k)*gap, func() {
@@ -507,7 +520,10 @@
 	}, Event{Object: object, What: "purge", Since: l.record.at(at.UnixMilli())})
 	// Caches drop it in their own time; until then the directors' word must hold.
 	time.AfterFunc(2*time.Second, func() {
-		for _, s := range slices.Concat(l.caches, l.parents) {
+		l.mu.Lock()
+		all := slices.Concat(l.caches, l.parents)
+		l.mu.Unlock()
+		for _, s := range all {
 			s.purge(object)
 		}
 	})
