Work out a plan for the loss of whole sites, and print it: shaleyard plan

Need: a branch's caches or a hub with its parents are lost as a whole, and nobody can read beforehand where their load goes and what is refused first.

Change: internal/siteplan makes a plan from the settings, the list of servers and the operators' wishes (table plan of the operators' file): one network with the branches' links in, the hubs' links and the origin as bounds, in which refusals cost the worth for each second of sending that they save, what must not run twice most, and ways round the ring their price. Successive shortest paths over some tens of arcs, each tried in the same order, so that all come to the same plan. Pins, forbidden targets and an order of refusal are checked: a pin that can't hold, an unknown site, shares over 1 and sites that would take each other's load are errors that name file, line and key.

Nothing of it is followed yet; run is as it was. Ruled out: a linear program from a library, as the daemon is to follow the plan and each library costs it memory.

--- /dev/null
+++ b/cmd/shaleyard/plan.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"shaleyard/internal/config"
+	"shaleyard/internal/director"
+	"shaleyard/internal/feed"
+	"shaleyard/internal/pacing"
+	"shaleyard/internal/siteplan"
+	"shaleyard/internal/strict"
+	"shaleyard/rules"
+)
+
+// planCommand prints what is done when sites are lost, worked out from a director's configuration (or its settings
+// alone, where the operators' file tells what each site carries) and the operators' file.
+func planCommand(args []string, out, errs io.Writer) error {
+	flags := flag.NewFlagSet("shaleyard plan", flag.ContinueOnError)
+	flags.SetOutput(errs)
+	settings := flags.String("settings", "", "`FILE` that EDGE_CONFIG names, or the settings in it alone")
+	operator := flags.String("config", os.Getenv("SHALEYARD_CONFIG"), "operators' `FILE`; none: the defaults")
+	lost := flags.String("lost", "", "`SITES` that are lost, with commas between; none: each, and each pair")
+	asJSON := flags.Bool("json", false, "one JSON array in place of a table")
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	if *settings == "" || flags.NArg() > 0 {
+		flags.Usage()
+		return errors.New("plan: --settings FILE is needed, and nothing but options")
+	}
+	o, wishes := &config.Operator{}, []byte(nil)
+	if *operator != "" {
+		var err error
+		if o, err = config.LoadOperator(*operator); err != nil {
+			return err
+		}
+		if wishes, err = os.ReadFile(*operator); err != nil {
+			return err
+		}
+	}
+	s, members, err := siteOf(*settings)
+	if err != nil {
+		return err
+	}
+	planner, err := newPlanner(s, members, o.Plan)
+	var wish *siteplan.WishError
+	if errors.As(err, &wish) {
+		return fmt.Errorf("%s:%d: %w", *operator, strict.Line(wishes, wish.Key), err)
+	}
+	if err != nil {
+		return err
+	}
+	plans := planner.All()
+	if *lost != "" {
+		plan, err := planner.For(strings.Split(*lost, ",")...)
+		if err != nil {
+			return err
+		}
+		plans = []*siteplan.Plan{plan}
+	}
+	if *asJSON {
+		e := json.NewEncoder(out)
+		e.SetIndent("", "  ")
+		return e.Encode(plans)
+	}
+	for _, p := range plans {
+		p.Print(out)
+	}
+	return nil
+}
+
+func newPlanner(s *rules.Settings, members []rules.Member, w siteplan.Wishes) (*siteplan.Planner, error) {
+	t, err := siteplan.From(s, members, w)
+	if err != nil {
+		return nil, err
+	}
+	return siteplan.NewPlanner(t, w)
+}
+
+// siteOf reads the settings, and the servers that the configuration knows.
+func siteOf(path string) (*rules.Settings, []rules.Member, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	var whole struct {
+		Settings json.RawMessage `json:"settings"`
+		Known    config.Known    `json:"known"`
+	}
+	if err := json.Unmarshal(text, &whole); err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if len(whole.Settings) == 0 {
+		whole.Settings = text
+	}
+	s := &rules.Settings{}
+	if err := json.Unmarshal(whole.Settings, s); err != nil {
+		return nil, nil, fmt.Errorf("%s: settings: %w", path, err)
+	}
+	if len(s.Services) == 0 || len(s.Zones) == 0 {
+		return nil, nil, fmt.Errorf("%s: no services or no zones (dcs) in it", path)
+	}
+	known := &listed{}
+	f := feed.New(&config.Limits{Members: 4096}, s, "", pacing.NewListCalls(pacing.ListBounds{Directors: 1, Call: time.Second,
+		Heed: 2 * time.Second, Late: 7 * time.Second}, 0), nil, known, &director.Agenda{}, func() rules.Time { return 0 }, zap.NewNop())
+	if err := f.Replay(whole.Known); err != nil {
+		return nil, nil, fmt.Errorf("%s: known: %w", path, err)
+	}
+	return s, known.members(), nil
+}
+
+// listed keeps the list that a feed comes to, by name.
+type listed struct{ list []director.Member }
+
+// Members takes a change of the list.
+func (l *listed) Members(full bool, _ uint64, list []director.Member) {
+	if full {
+		l.list = l.list[:0]
+	}
+	for _, m := range list {
+		l.list = slices.DeleteFunc(l.list, func(o director.Member) bool { return o.Name == m.Name })
+		l.list = append(l.list, m)
+	}
+}
+
+// members are the servers as the decision module knows them.
+func (l *listed) members() (members []rules.Member) {
+	for _, m := range l.list {
+		members = append(members, m.Member)
+	}
+	return members
+}
+
+// Purge says nothing of sites.
+func (*listed) Purge(uint64, int, rules.Time) {}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -1,10 +1,12 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"time"
 
+	"shaleyard/internal/siteplan"
 	"shaleyard/internal/strict"
 )
 
@@ -14,6 +16,8 @@
 	List  OperatorList  `toml:"list"`
 	Pause OperatorPause `toml:"pause"`
 	Log   OperatorLog   `toml:"log"`
+
+	Plan siteplan.Wishes `toml:"plan"` // for the loss of whole sites
 }
 
 // OperatorList sets the pace of calls of the list service. Times are milliseconds.
@@ -60,6 +64,10 @@
 			return nil, fmt.Errorf("%s:%d: %s: %v is not within %v and %v", file, strict.Line(text, b.key), b.key, *b.value, b.low, b.high)
 		}
 	}
+	var wish *siteplan.WishError
+	if err := o.Plan.CheckRanges(); errors.As(err, &wish) {
+		return nil, fmt.Errorf("%s:%d: %w", file, strict.Line(text, wish.Key), err)
+	}
 	switch o.Log.Level {
 	case "", "debug", "info", "warn", "error":
 	default:
--- /dev/null
+++ b/internal/siteplan/table.go
@@ -0,0 +1,71 @@
+package siteplan
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Print writes a plan as people read it.
+func (p *Plan) Print(w io.Writer) {
+	name := "nothing lost"
+	if len(p.Lost) > 0 {
+		name = "lost: " + strings.Join(p.Lost, ", ")
+	}
+	fmt.Fprintln(w, name)
+	fmt.Fprintf(w, "  %-14s %-9s %-44s %s\n", "branch", "load by", "fills by", "served at the usual load")
+	for _, b := range p.Branches {
+		fmt.Fprintf(w, "  %-14s %-9s %-44s %s\n", b.Name, b.Load, parts(b.Fills), parts(b.Served))
+	}
+	switch {
+	case p.Never:
+		fmt.Fprintf(w, "  refusing: not below %d times the usual load\n", neverRefuse)
+	case p.Starts == 0:
+		fmt.Fprintln(w, "  refusing: at any load")
+	default:
+		fmt.Fprintf(w, "  refusing: from %.2f times the usual load on\n", p.Starts)
+	}
+	for _, r := range p.Refused {
+		fmt.Fprintf(w, "    %-14s from %.2f times on, at %s\n", r.Class, r.Load, strings.Join(r.Branches, ", "))
+	}
+	if len(p.Lost) > 0 {
+		fmt.Fprintf(w, "  the return takes %v\n", p.Return.Round(100*time.Millisecond))
+	}
+	for _, c := range p.Cannot {
+		fmt.Fprintf(w, "  can't be met: %s\n", c)
+	}
+}
+
+func parts(by map[string]float64) string {
+	var list []string
+	for _, name := range slices.Sorted(maps.Keys(by)) {
+		list = append(list, fmt.Sprintf("%s %.0f%%", name, 100*by[name]))
+	}
+	if len(list) == 0 {
+		return "-"
+	}
+	return strings.Join(list, " ")
+}
+
+// All are the plans that operators read before the bad day: nothing lost, each site, and each pair of sites.
+func (p *Planner) All() (plans []*Plan) {
+	sets := [][]string{nil}
+	for i, a := range p.t.Sites {
+		sets = append(sets, []string{a.Name})
+		for _, b := range p.t.Sites[i+1:] {
+			sets = append(sets, []string{a.Name, b.Name})
+		}
+	}
+	slices.SortStableFunc(sets, func(a, b []string) int { return len(a) - len(b) })
+	for _, lost := range sets {
+		plan, err := p.For(lost...)
+		if err != nil {
+			panic(err) // the names are the topology's own
+		}
+		plans = append(plans, plan)
+	}
+	return plans
+}
--- /dev/null
+++ b/internal/siteplan/topology.go
@@ -0,0 +1,252 @@
+// Package siteplan works out, before the bad day, who takes the load and the fills of a site that is lost, in what
+// shares, and what is refused, in which order. A site is a branch with its caches or a hub with its parents.
+//
+// A plan follows from the settings, the list of servers and the operators' wishes alone, so that hundreds of directors
+// that can't talk to each other come to the same one. Nothing here does I/O or knows a clock, and nothing is random.
+package siteplan
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"shaleyard/rules"
+)
+
+// Site is a branch or a hub. Capacities are in transfers: answers that can be sent at once at the full pace of one.
+type Site struct {
+	Name    string
+	Hub     bool
+	Carries float64 // transfers that the links of its servers carry together
+	LinkIn  float64 // of a branch: transfers that its link in takes; 0: not told, and taken for enough
+	Home    int     // of a branch: its hub's place in Topology.Sites; -1: it has none
+	Ring    int     // of a hub: its place in the ring; each step is a longer way
+	Seats   int     // of a branch: directors that serve it
+}
+
+// Class is a class of requests.
+type Class struct {
+	Name   string
+	Share  float64       // of the work asked for; those of all classes make 1
+	Work   time.Duration // sending time of a mean object at full pace
+	Worth  float64       // of one request
+	Once   bool          // must not run twice: refused last
+	PassOn bool          // runs at the origin, and takes next to nothing of links
+	Grace  time.Duration // for how long past its fresh time a copy may be served
+}
+
+// density is the worth of a second of sending: what is lost for each unit of the scarce thing that is saved.
+func (c Class) density() float64 { return c.Worth / c.Work.Seconds() }
+
+// Topology is what a plan is made for.
+type Topology struct {
+	Sites   []Site
+	Classes []Class
+	Bypass  bool // parents and the origin take clients' requests too
+	Lateral bool // caches of other branches may be a source
+
+	Load       float64 // usual load, as a part of what a branch's caches carry
+	Hits       float64 // part of the work that caches hold
+	ParentHits float64 // part of the fills that parents hold
+	Origin     float64 // transfers that the origin can give at once; 0: any number
+	FarPrice   float64 // price of a byte for each step round the ring, as a part of the worth of a mean byte
+
+	Cold       time.Duration // a cache is warm after so long
+	ColdFrom   float64       // part of its capacity that it starts with
+	ColdTimes  float64       // times its present capacity at which it falls over
+	ParentCold time.Duration
+	ParentFrom float64
+	ParentTops float64
+}
+
+// Figures that hold where neither settings nor operators tell one.
+const (
+	usualLoad   = 0.6 // of a branch's links
+	usualHits   = 0.7
+	parentHits  = 0.6
+	usualWork   = 100 * time.Millisecond
+	originRoom  = 1.5  // times what it is asked for at the usual load that an origin of unknown size can give
+	nearPrice   = 0.04 // least price of a step round the ring: well over that of a crowded hub, or all hubs would share
+	coldUse     = 0.5  // part of a cold budget that is used: the router's own margin for chance
+	neverRefuse = 16   // times the usual load beyond which nobody asks when refusing begins
+)
+
+// From takes the topology from a director's settings and the list of servers that it knows. Draining and gone
+// servers carry nothing.
+func From(s *rules.Settings, members []rules.Member, w Wishes) (*Topology, error) {
+	f, g := &s.Family, &s.Guarantees
+	t := &Topology{Bypass: f.BypassAllowed, Lateral: f.Lateral == "any", Load: cmpOr(w.UsualLoad, usualLoad),
+		Hits: cmpOr(w.Hits, usualHits), ParentHits: cmpOr(w.ParentHits, parentHits), Origin: w.Origin,
+		FarPrice: f.TransitPrice,
+		Cold:     g.Cold, ColdFrom: g.ColdFrom, ColdTimes: g.TipMultiple,
+		ParentCold: f.ParentRamp, ParentFrom: f.ParentColdFrom, ParentTops: f.ParentFallMultiple}
+	carries, hubs, seen := make([]float64, len(s.Zones)), make([]bool, len(s.Zones)), make([]bool, len(s.Zones))
+	for _, m := range members {
+		if m.Zone < 0 || m.Zone >= len(s.Zones) || m.Kind == f.MasterKind {
+			continue
+		}
+		seen[m.Zone] = true
+		hubs[m.Zone] = hubs[m.Zone] || m.Kind == f.SecondTierKind
+		if m.State == rules.Ready {
+			carries[m.Zone] += m.Weight
+		}
+	}
+	place := make([]int, len(s.Zones)) // of a zone among the sites
+	for z, name := range s.Zones {
+		site := Site{Name: name, Carries: carries[z], Home: -1, Ring: -1}
+		seats := z < len(f.SeatsByZone) && f.SeatsByZone[z] > 0
+		site.Hub = hubs[z] || (!seats && !seen[z])
+		if seats {
+			site.Seats = f.SeatsByZone[z]
+		}
+		if !site.Hub && z < len(f.FeedKBPerS) && f.FlowKBPerS > 0 {
+			site.LinkIn = f.FeedKBPerS[z] / f.FlowKBPerS
+		}
+		place[z] = len(t.Sites)
+		t.Sites = append(t.Sites, site)
+	}
+	for z := range s.Zones {
+		if z >= len(f.HubByZone) {
+			break
+		}
+		// The settings give places: hubs are the first zones, in the order of the ring (protocol page).
+		hub, site := f.HubByZone[z], &t.Sites[place[z]]
+		switch {
+		case site.Hub:
+			site.Ring = z
+		case hub >= 0 && hub < len(place) && t.Sites[place[hub]].Hub:
+			site.Home = place[hub]
+		}
+	}
+	for i, c := range s.Services {
+		k := Class{Name: c.Name, Share: 1 / float64(len(s.Services)), Work: usualWork, Worth: c.Worth,
+			Once: c.Effect == "non_idempotent"}
+		k.PassOn = i < len(f.PassOn) && f.PassOn[i]
+		if i < len(f.StaleFor) && i < len(f.ClassFresh) && f.ClassFresh[i] > 0 {
+			k.Grace = f.StaleFor[i]
+		}
+		if ms := w.WorkMS[c.Name]; ms > 0 {
+			k.Work = time.Duration(ms * float64(time.Millisecond))
+		}
+		if len(w.Shares) > 0 {
+			k.Share = w.Shares[c.Name]
+		}
+		t.Classes = append(t.Classes, k)
+	}
+	for name, carries := range w.Carries {
+		if i := t.site(name); i >= 0 {
+			t.Sites[i].Carries = carries
+		}
+	}
+	for _, m := range []struct {
+		key   string
+		by    map[string]float64
+		place func(string) int
+		kind  string
+	}{{"plan.carries", w.Carries, t.site, "site"}, {"plan.shares", w.Shares, t.class, "class"},
+		{"plan.work_ms", w.WorkMS, t.class, "class"}} {
+		for _, name := range slices.Sorted(maps.Keys(m.by)) {
+			if m.place(name) < 0 {
+				return nil, wrong(m.key+"."+name, "the settings have no such %s", m.kind)
+			}
+		}
+	}
+	if t.FarPrice = max(t.FarPrice, nearPrice); t.Origin == 0 {
+		t.Origin = originRoom * t.passedOn()
+		for b, s := range t.Sites {
+			for c := range t.Classes {
+				if !s.Hub {
+					t.Origin += originRoom * t.fills(b, c, false) * (1 - t.ParentHits)
+				}
+			}
+		}
+	}
+	return t, t.check()
+}
+
+func cmpOr(a, b float64) float64 {
+	if a != 0 {
+		return a
+	}
+	return b
+}
+
+func (t *Topology) class(name string) int {
+	return slices.IndexFunc(t.Classes, func(c Class) bool { return c.Name == name })
+}
+
+func (t *Topology) site(name string) int {
+	return slices.IndexFunc(t.Sites, func(s Site) bool { return s.Name == name })
+}
+
+// check names what a plan can't be made of.
+func (t *Topology) check() error {
+	sum := 0.0
+	for _, c := range t.Classes {
+		if !(c.Share >= 0 && c.Share <= 1) {
+			return wrong("plan.shares."+c.Name, "%v of the work", c.Share)
+		}
+		if c.Work <= 0 || !(c.Worth >= 0) {
+			return fmt.Errorf("class %s: work %v, worth %v", c.Name, c.Work, c.Worth)
+		}
+		sum += c.Share
+	}
+	if math.Abs(sum-1) > 0.01 {
+		return wrong("plan.shares", "the classes' shares make %.3f, not 1", sum)
+	}
+	for _, s := range t.Sites {
+		if !(s.Carries >= 0) || !(s.LinkIn >= 0) {
+			return fmt.Errorf("site %s: carries %v, link in %v", s.Name, s.Carries, s.LinkIn)
+		}
+	}
+	return nil
+}
+
+// steps is the way round the ring between two hubs.
+func (t *Topology) steps(a, b int) int {
+	n := 0
+	for _, s := range t.Sites {
+		if s.Hub {
+			n++
+		}
+	}
+	d := t.Sites[a].Ring - t.Sites[b].Ring
+	if d < 0 {
+		d = -d
+	}
+	return min(d, max(n-d, 0))
+}
+
+// asked is the work that a branch is asked for at the usual load, in transfers. Traffic goes with the capacity that
+// the branch was built with: the clients of a lost branch are still there.
+func (t *Topology) asked(branch int) float64 { return t.Load * t.Sites[branch].Carries }
+
+// fills is the part of a class's work at a branch that comes from hubs: what its caches lack, and all of it where
+// there are none and parents may be asked in their place.
+func (t *Topology) fills(branch, class int, lost bool) float64 {
+	c := t.Classes[class]
+	asked := t.asked(branch) * c.Share
+	switch {
+	case c.PassOn:
+		return 0
+	case lost && !t.Bypass:
+		return 0
+	case lost:
+		return asked
+	}
+	return asked * (1 - t.Hits)
+}
+
+// passedOn is the work of all branches that runs at the origin alone.
+func (t *Topology) passedOn() (sum float64) {
+	for b, s := range t.Sites {
+		for _, c := range t.Classes {
+			if !s.Hub && c.PassOn {
+				sum += t.asked(b) * c.Share
+			}
+		}
+	}
+	return sum
+}
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -29,11 +29,21 @@
 	return fmt.Errorf("%s: %w", file, err)
 }
 
-// Line finds the line of a key such as clients.zipf or step[2].do; 0: it stands in none.
+// Line finds the line of a key such as clients.zipf, step[2].do or plan.pin[1].share; where the file gives the key in
+// a table on one line, that line. 0: it stands in none.
 func Line(text []byte, key string) int {
-	table, name, dotted := strings.Cut(key, ".")
-	if !dotted {
-		table, name = "", key
+	for ; key != ""; key = key[:max(0, strings.LastIndexByte(key, '.'))] {
+		if n := line(text, key); n > 0 {
+			return n
+		}
+	}
+	return 0
+}
+
+func line(text []byte, key string) int {
+	table, name := "", key
+	if dot := strings.LastIndexByte(key, '.'); dot >= 0 {
+		table, name = key[:dot], key[dot+1:]
 	}
 	table, index, _ := strings.Cut(strings.TrimSuffix(table, "]"), "[")
 	want, in, seen := 0, "", -1
--- a/rules/api.go
+++ b/rules/api.go
@@ -46,6 +46,8 @@
 	StaleEarns         []float64       `json:"staleEarns"`
 	PassOn             []bool          `json:"passOn"`
 	FlowKBPerS         float64         `json:"flowKbPerS"`
+	FeedKBPerS         []float64       `json:"feedKbPerS"` // by zone: its link in; 0: not told
+	TransitPrice       float64         `json:"transitPrice"`
 	MergesFills        bool            `json:"mergesFills"`
 	RootFallMultiple   float64         `json:"rootFallMultiple"`
 	OriginBears        time.Duration   `json:"originBears"`
