Judge sites as wholes: refuse at once where a branch is lost, share a lost hub's fills

Need: each cache is judged by itself, so a director finds out request by request that a branch or a hub is gone; what a lost hub leaves goes to the others by weight alone, and comes back all at once.

Change: internal/siteview pools the evidence on all servers of a zone (answers, refused connects, silences, fill notes, the list), each with its age, to well, member lost, lost, cut off, returning, relapsed, or that it is us who are cut off; with a least stay, a wait that relapses double, and a return that no clock alone completes. The router is asked no more than before: a request that can only fail is refused at once, told to stay away until the next look; parents are ranked by what the plan gives their hub (siteplan.Adviser), and a hub that is back gets its objects by and by, by the same hash at all directors. Each change of state is one log line with its evidence, and a counter.

--- a/cmd/shaleyard/main.go
+++ b/cmd/shaleyard/main.go
@@ -27,6 +27,7 @@
 	"shaleyard/internal/feed"
 	"shaleyard/internal/loop"
 	"shaleyard/internal/pacing"
+	"shaleyard/internal/siteplan"
 	"shaleyard/rules"
 )
 
@@ -113,7 +114,7 @@
 	// One more than the cores: the loop sits in the kernel's wait, and timers and dials must not wait for
 	// the runtime to notice that.
 	runtime.GOMAXPROCS(int(math.Ceil(c.Limits.Cores)) + 1)
-	p, err := assemble(c, newLogger(logTo, operator.Log.Level, c.Name))
+	p, err := assemble(c, operator.Plan, newLogger(logTo, operator.Log.Level, c.Name))
 	if err != nil {
 		return err
 	}
@@ -146,7 +147,7 @@
 	return zap.New(core).With(zap.String("director", name))
 }
 
-func assemble(c *config.Config, logger *zap.Logger) (*program, error) {
+func assemble(c *config.Config, wishes siteplan.Wishes, logger *zap.Logger) (*program, error) {
 	p := &program{log: logger, config: c, limits: &c.Limits}
 	l, s := p.limits, &c.Settings
 	p.pool = buffer.NewPool(l.BufferSize, l.BufferCount)
@@ -161,6 +162,13 @@
 	p.fleet = caches.NewFleet(l, s, p.pool, p.loop, p.director, &p.agenda, p.clock.now, p.log, c.Seed)
 	p.director.Attach(p.fleet)
 	p.director.Admission = pacing.NewAdmission(c.Seed)
+	// A plan that can't be made must not keep the director from starting: it goes on as without one.
+	advice, err := siteplan.NewAdviser(s, wishes, func(err error) { p.log.Warn("no plan for lost sites", zap.Error(err)) })
+	if err != nil {
+		p.log.Warn("no plan for lost sites", zap.Error(err))
+	} else {
+		p.director.Follow(advice.Advise, wishes.MovePerS)
+	}
 	if l.FeedStart > 0 {
 		p.director.Closed = p.closed
 	}
@@ -292,7 +300,7 @@
 func (p *program) report() {
 	p.log.Info("counters", zap.Any("counters", map[string]any{
 		"clients": p.clients.Counters, "director": p.director.Counters, "caches": p.fleet.Counters,
-		"feed": p.feed.Counters, "rejected": p.rejected, "pauses": p.pauses, "reloads": p.reloads,
+		"feed": p.feed.Counters, "rejected": p.rejected, "pauses": p.pauses, "sites": p.director.Sites(), "reloads": p.reloads,
 		"reloads_failed": p.reloadsFailed, "open": p.director.Open(),
 		"client_conns": p.clients.Conns(), "peer_conns": p.fleet.Conns(), "buffers": p.pool.Lent(),
 	}))
--- a/cmd/shaleyard/stories_test.go
+++ b/cmd/shaleyard/stories_test.go
@@ -17,6 +17,7 @@
 
 	"shaleyard/internal/config"
 	"shaleyard/internal/nettest"
+	"shaleyard/internal/siteplan"
 )
 
 // site is a program under test between scripted peers: a feed, a cache and the origin.
@@ -72,7 +73,7 @@
 	if change != nil {
 		change(&c.Limits)
 	}
-	if s.p, err = assemble(c, newLogger(logTo, "", c.Name)); err != nil {
+	if s.p, err = assemble(c, siteplan.Wishes{}, newLogger(logTo, "", c.Name)); err != nil {
 		t.Fatal(err)
 	}
 	if err := s.p.feed.Replay(c.Known); err != nil {
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -10,6 +10,7 @@
 	"io"
 	"os"
 
+	"shaleyard/internal/siteplan"
 	"shaleyard/internal/wire"
 	"shaleyard/rules"
 )
@@ -80,5 +81,12 @@
 	if err := json.Unmarshal(b.Settings, &s); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	return rules.New(s, b.Seed)
+	r, err := rules.New(s, b.Seed)
+	if err != nil {
+		return nil, err
+	}
+	if a, err := siteplan.NewAdviser(&s, siteplan.Wishes{}, nil); err == nil {
+		r.Follow(a.Advise, 0) // as the real director does without an operators' file
+	}
+	return r, nil
 }
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -16,6 +16,7 @@
 	"shaleyard/internal/buffer"
 	"shaleyard/internal/config"
 	"shaleyard/internal/pacing"
+	"shaleyard/internal/siteview"
 	"shaleyard/rules"
 )
 
@@ -188,6 +189,12 @@
 		names: map[rules.Host]string{}}, nil
 }
 
+// Follow sets the plan for the loss of whole sites; it comes before the first event.
+func (d *Director) Follow(plan siteview.Plan, rate float64) { d.router.Follow(plan, rate) }
+
+// Sites counts what was seen of whole sites.
+func (d *Director) Sites() siteview.Counters { return d.router.Sites() }
+
 // Attach names the peers; it comes before the first event.
 func (d *Director) Attach(p Peers) { d.peers = p }
 
--- /dev/null
+++ b/internal/siteplan/advice.go
@@ -0,0 +1,97 @@
+package siteplan
+
+import (
+	"slices"
+
+	"shaleyard/internal/siteview"
+	"shaleyard/rules"
+)
+
+// Adviser turns plans into what a director's view of the sites asks for. It makes a planner for what the sites carry,
+// and a new one when that has changed.
+type Adviser struct {
+	s       *rules.Settings
+	w       Wishes
+	carries []float64
+	planner *Planner
+	err     error
+	refused func(error)
+}
+
+// NewAdviser checks what can be checked of the wishes before any server is known: an error names the key. What a site
+// carries is known later; a pin that can't hold then is told to refused, once for each such state of the fleet, and
+// there is no advice: the director goes on as without a plan.
+func NewAdviser(s *rules.Settings, w Wishes, refused func(error)) (*Adviser, error) {
+	a := &Adviser{s: s, w: w, refused: refused}
+	enough := make([]float64, len(s.Zones))
+	for i := range enough {
+		enough[i] = 1e6
+	}
+	t, err := From(s, a.members(enough), w)
+	if err != nil {
+		return nil, err
+	}
+	_, err = NewPlanner(t, w)
+	return a, err
+}
+
+// members stand for all servers of each zone.
+func (a *Adviser) members(carries []float64) (list []rules.Member) {
+	f := &a.s.Family
+	cache := 0 // the first kind that is neither a parent nor the origin
+	for cache == f.MasterKind || cache == f.SecondTierKind {
+		cache++
+	}
+	for z, c := range carries {
+		kind := f.SecondTierKind
+		if z < len(f.SeatsByZone) && f.SeatsByZone[z] > 0 {
+			kind = cache
+		}
+		list = append(list, rules.Member{Zone: z, Kind: kind, State: rules.Ready, Weight: c})
+	}
+	return list
+}
+
+// Advise is a siteview.Plan.
+func (a *Adviser) Advise(lost []int, carries []float64) (advice siteview.Advice) {
+	if !slices.Equal(carries, a.carries) {
+		a.carries = slices.Clone(carries)
+		t, err := From(a.s, a.members(carries), a.w)
+		if err == nil {
+			a.planner, err = NewPlanner(t, a.w)
+		}
+		if a.err = err; err != nil && a.refused != nil {
+			a.refused(err)
+		}
+	}
+	if a.err != nil || a.s.Zone >= len(a.s.Zones) {
+		return advice
+	}
+	var names []string
+	for _, z := range lost {
+		names = append(names, a.s.Zones[z])
+	}
+	plan, err := a.planner.For(names...)
+	own := slices.IndexFunc(a.planner.t.Sites, func(s Site) bool { return s.Name == a.s.Zones[a.s.Zone] })
+	if err != nil || own < 0 || a.planner.t.Sites[own].Hub {
+		return advice
+	}
+	b := plan.Branches[slices.IndexFunc(plan.Branches, func(b BranchPlan) bool { return b.Name == a.s.Zones[a.s.Zone] })]
+	advice.Hubs = make([]float64, len(carries))
+	for z, name := range a.s.Zones {
+		advice.Hubs[z] = b.Fills[name]
+	}
+	if a.w.Follow {
+		t := a.planner.t
+		for c, k := range t.Classes {
+			part := 1.0
+			if f, asked := t.fills(own, c, plan.lost(b.Name)), t.asked(own)*k.Share; f > whole {
+				part = max(0, min(1, 1-(1-b.Served[k.Name])*asked/f))
+			}
+			advice.Fills = append(advice.Fills, part)
+		}
+	}
+	return advice
+}
+
+func (p *Plan) lost(name string) bool { return slices.Contains(p.Lost, name) }
--- /dev/null
+++ b/internal/siteview/view.go
@@ -0,0 +1,510 @@
+// Package siteview tells, from what one director meets, how whole sites fare: a branch with its caches, a hub with its
+// parents. A director meets most servers seldom, so what it knows of one is little; what it knows of all servers of a
+// site together is enough to tell a site that is lost from a server that is.
+//
+// It does no I/O, has no clock and draws nothing: the same evidence gives the same states.
+package siteview
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+// Time is the time of the caller's clock.
+type Time = time.Duration
+
+// State is how a site fares.
+type State uint8
+
+// States of a site. What a wrong one costs, and what to do at each, is in docs/site-loss.md.
+const (
+	Well       State = iota
+	MemberLost       // a server fails while others answer
+	Lost             // its servers refuse, or the list has none left
+	CutOff           // its servers are silent: from here that is as good as lost, but they may be serving others
+	Returning        // it answers again, and gets its load back by and by
+	Relapsed         // it was lost again while returning: it waits twice as long as before
+)
+
+// String is the state's name in logs.
+func (s State) String() string {
+	return [...]string{"well", "member lost", "lost", "cut off", "returning", "relapsed"}[s]
+}
+
+// gone tells that nothing is sent there but looks.
+func (s State) gone() bool { return s == Lost || s == CutOff || s == Relapsed }
+
+// Figures of the view.
+const (
+	enough     = 2.0                    // servers that have failed, with none that answered between
+	half       = 0.5                    // and at least this part of those that are ready
+	silentOnce = 0.5                    // of a server, that one silence counts for: an answer may be lost
+	silentMore = 0.25                   // and each further one
+	failAge    = 5 * time.Second        // after which a failure counts no more
+	leastStay  = time.Second            // in a state, before a site may leave it for a better one
+	backRate   = 0.25                   // part of a hub's objects that go back to it in a second
+	waitFirst  = 500 * time.Millisecond // after a loss, before an answer counts as a return; doubled by each relapse
+	waitMost   = 8 * time.Second
+	calmFor    = 20 * time.Second // a site that was well for so long has its relapses forgotten
+	startsAt   = 0.1              // part of its load that a returning site gets at once
+	wellAfter  = 8                // answers in a row that a returning site must have given: no clock alone heals it
+	aloneAfter = time.Second      // nobody anywhere has answered for so long while several sites were asked: it is us
+	aloneSites = 2
+)
+
+// Config is what a view is made for.
+type Config struct {
+	Names []string // of zones
+	Own   int      // the director's own branch
+	Hub   int      // and the hub that it is attached to
+}
+
+// Advice is what a plan says while some zones are lost: how the other hubs share the fills of our branch, by zone, and
+// the part of each class's fills that are made. What is not told is shared alike, and made.
+type Advice struct{ Hubs, Fills []float64 }
+
+// Plan gives advice. It is asked with the zones that are lost, and with what each zone carries when all of it is there.
+type Plan func(lost []int, carries []float64) Advice
+
+// View holds the states of all sites, as one director sees them. It is not safe for concurrent use.
+type View struct {
+	// Plan, where set, is followed; else other hubs share alike.
+	Plan Plan
+	// Rate, where set, is the part of a site's traffic that moves in a second at most, there and back. Else what a hub
+	// leaves is taken up as it comes, with the origin's shield for a guard, and goes back at backRate.
+	Rate float64
+
+	c         Config
+	pull      []float64 // by zone: what the weight of its parents counts
+	advice    Advice
+	sites     []site
+	heard     Time // the last answer from anybody
+	asked     Time // the first failure since then
+	alone     bool
+	aloneFrom Time
+	changes   []Change
+	Counters  Counters
+}
+
+// Counters count changes of state.
+type Counters struct{ Losses, CutOffs, Returns, Relapses, Recoveries, Alone uint64 }
+
+// Change is one change of a site's state, with its evidence.
+type Change struct {
+	Site     string // "": the director itself
+	From, To State
+	Evidence string
+}
+
+// String is the change as a line of the log.
+func (c Change) String() string {
+	if c.Site == "" {
+		if c.To.gone() {
+			return "we are cut off: " + c.Evidence
+		}
+		return "we are cut off no more: " + c.Evidence
+	}
+	return fmt.Sprintf("site %s: %v, was %v: %s", c.Site, c.To, c.From, c.Evidence)
+}
+
+type site struct {
+	members []*Member
+	state   State
+	since   Time
+	good    Time // the last answer
+	goods   int  // answers since it began to return
+	wait    time.Duration
+	seen    bool    // it has had members
+	carries float64 // weight of all of its servers when most of them were there
+}
+
+// Member is a server, as the view knows it. Its zero is none, and takes any evidence.
+type Member struct {
+	v       *View
+	zone    int
+	weight  float64
+	up      bool // listed as ready
+	started Time
+	good    Time
+	refused Time // 0: not since it answered last
+	silent  Time
+	silence int // in a row
+}
+
+// New returns a view in which all is well.
+func New(c Config) *View {
+	v := &View{c: c, sites: make([]site, max(len(c.Names), c.Own+1, c.Hub+1)), pull: make([]float64, max(len(c.Names), c.Own+1, c.Hub+1))}
+	v.pull[c.Hub] = 1
+	return v
+}
+
+// Join takes a server, or what the list now tells of it. The list is late, so that what it says of a server's start is
+// news only if that is a start which was not known.
+func (v *View) Join(now Time, m *Member, zone int, weight float64, up bool, started Time) *Member {
+	if zone < 0 || zone >= len(v.sites) {
+		return m
+	}
+	s := &v.sites[zone]
+	switch {
+	case m == nil:
+		m = &Member{v: v, zone: zone}
+		s.members = append(s.members, m)
+	case started != m.started:
+		m.refused, m.silent, m.silence, m.good = 0, 0, 0, 0
+	}
+	m.weight, m.up, m.started = weight, up, started
+	sum := 0.0
+	for _, o := range s.members {
+		if o.up {
+			sum += o.weight
+		}
+	}
+	s.carries = max(s.carries, sum)
+	if up && started != 0 && s.state.gone() && now >= s.since+s.wait {
+		// It counts as a sign of life of a site that is lost, but not as an answer.
+		v.change(now, zone, Returning, "the list has a new server")
+	}
+	s.seen = s.seen || up
+	return m
+}
+
+// Leave takes a server away, which the list no longer has.
+func (m *Member) Leave() {
+	if m == nil {
+		return
+	}
+	s := &m.v.sites[m.zone]
+	for i, o := range s.members {
+		if o == m {
+			s.members = append(s.members[:i], s.members[i+1:]...)
+			break
+		}
+	}
+}
+
+// Answered: the server has said something, whatever it was.
+func (m *Member) Answered(now Time) {
+	if m == nil {
+		return
+	}
+	v, s := m.v, &m.v.sites[m.zone]
+	m.good, m.refused, m.silent, m.silence = now, 0, 0, 0
+	s.good = now
+	s.goods++
+	v.heard, v.asked = now, 0
+	if v.alone {
+		v.alone = false
+		v.note(-1, Lost, Well, fmt.Sprintf("%s answers after %v", v.name(m.zone), now-v.aloneFrom))
+		for i := range v.sites { // what was silent meanwhile was our own silence
+			for _, o := range v.sites[i].members {
+				o.silent, o.silence = 0, 0
+			}
+		}
+	}
+	if s.state.gone() && now >= s.since+s.wait {
+		v.change(now, m.zone, Returning, "a server answers")
+	}
+}
+
+// Refused: the server's machine says that nothing listens there, or its source was not reached at once.
+func (m *Member) Refused(now Time) {
+	if m == nil {
+		return
+	}
+	m.refused = now
+	m.v.failed(now)
+}
+
+// Unreached: a cache could not reach the server as its source: at once, as one that refuses, or after a wait.
+func (m *Member) Unreached(now, sent Time, quickly bool) {
+	if quickly {
+		m.Refused(now)
+		return
+	}
+	m.Silent(now, sent)
+}
+
+// Silent: an attempt that was sent at a time is over and got nothing out of the server, though an answer was due. Where
+// the server has spoken since, it was the answer that was lost.
+func (m *Member) Silent(now, sent Time) {
+	if m == nil || m.good > sent {
+		return
+	}
+	m.silent = now
+	m.silence++
+	m.v.failed(now)
+}
+
+func (v *View) failed(now Time) {
+	if v.asked == 0 {
+		v.asked = now
+	}
+}
+
+// failing is what counts against a site: servers that have failed since anybody there answered last, each once, in the
+// worth of a proven one; and how many of them are silent.
+func (s *site) failing(now Time) (sum, silent float64, n int) {
+	from := s.good
+	if s.state == Returning {
+		from = max(from, s.since) // what was before the return says nothing of it
+	}
+	for _, m := range s.members {
+		refused := m.refused > from && now-m.refused <= failAge
+		quiet := m.silent > from && now-m.silent <= failAge
+		switch {
+		case refused:
+			sum++
+			n++
+		case quiet:
+			part := min(1, silentOnce+silentMore*float64(m.silence-1))
+			sum, silent = sum+part, silent+part
+			n++
+		}
+	}
+	return sum, silent, n
+}
+
+// ready is the number of servers that the list has as ready.
+func (s *site) ready() (n int) {
+	for _, m := range s.members {
+		if m.up {
+			n++
+		}
+	}
+	return n
+}
+
+// Tick brings the states up to date, and tells what has changed since the last call. It is called often, some twenty
+// times a second.
+func (v *View) Tick(now Time, changed func(Change)) {
+	v.tellAlone(now)
+	for z := range v.sites {
+		if v.sites[z].seen {
+			v.judge(now, z)
+		}
+	}
+	v.draw(now)
+	for _, c := range v.changes {
+		changed(c)
+	}
+	v.changes = v.changes[:0]
+}
+
+// tellAlone tells whether it is us who are cut off: nobody has answered for a while, and servers of several sites were
+// asked in vain. Then no site is called lost, however silent: a director that can't see must not send all its load
+// elsewhere, nor come back as from the end of the world.
+func (v *View) tellAlone(now Time) {
+	if v.alone || v.asked == 0 || now-max(v.asked, v.heard) < aloneAfter {
+		return
+	}
+	sites, members := 0, 0
+	for z := range v.sites {
+		s := &v.sites[z]
+		for _, m := range s.members {
+			if m.refused > v.heard {
+				return // somebody's machine refuses: we do get through
+			}
+		}
+		if _, silent, n := s.failing(now); silent > 0 {
+			sites, members = sites+1, members+n
+		}
+	}
+	if sites >= aloneSites {
+		v.alone, v.aloneFrom = true, v.asked
+		v.Counters.Alone++
+		v.note(-1, Well, Lost, fmt.Sprintf("%d servers of %d sites silent for %v, nobody answers", members, sites, now-v.asked))
+	}
+}
+
+func (v *View) judge(now Time, zone int) {
+	s := &v.sites[zone]
+	sum, silent, n := s.failing(now)
+	ready := s.ready()
+	need := min(max(enough, half*float64(ready)), float64(max(ready, 1)))
+	lost, how := false, ""
+	switch {
+	case ready == 0:
+		lost, how = true, "the list has no server left"
+	case sum >= need-1e-9 && !v.alone:
+		lost, how = true, fmt.Sprintf("%d of %d servers failed, %.1f of them silent, none answers", n, ready, silent)
+	}
+	worse := Lost
+	if ready > 0 && silent > sum/2 {
+		worse = CutOff
+	}
+	switch {
+	case lost && s.state == Returning:
+		s.wait = min(waitMost, max(2*s.wait, 2*waitFirst))
+		v.Counters.Relapses++
+		v.change(now, zone, Relapsed, how)
+	case lost && !s.state.gone():
+		if now-s.since > calmFor {
+			s.wait = 0
+		}
+		s.wait = max(s.wait, waitFirst)
+		v.change(now, zone, worse, how)
+	case s.state == Returning && !lost && n == 0 && s.goods >= wellAfter && v.ramp(now, s) >= 1:
+		v.Counters.Recoveries++
+		v.change(now, zone, Well, fmt.Sprintf("%d answers in %v", s.goods, now-s.since))
+	case s.state.gone() && !lost && s.good > s.since && now >= s.since+s.wait:
+		v.change(now, zone, Returning, "a server has answered")
+	case s.state == Well && n > 0 && !lost:
+		v.change(now, zone, MemberLost, fmt.Sprintf("%d of %d servers failed", n, ready))
+	case s.state == MemberLost && n == 0 && now-s.since >= leastStay:
+		v.change(now, zone, Well, "none fails")
+	}
+}
+
+func (v *View) change(now Time, zone int, to State, evidence string) {
+	s := &v.sites[zone]
+	v.note(zone, s.state, to, evidence)
+	switch to {
+	case Lost:
+		v.Counters.Losses++
+	case CutOff:
+		v.Counters.CutOffs++
+	case Returning:
+		v.Counters.Returns++
+	}
+	s.state, s.since, s.goods = to, now, 0
+}
+
+func (v *View) note(zone int, from, to State, evidence string) {
+	name := ""
+	if zone >= 0 {
+		name = v.name(zone)
+	}
+	v.changes = append(v.changes, Change{name, from, to, evidence})
+}
+
+func (v *View) name(zone int) string {
+	if zone >= 0 && zone < len(v.c.Names) {
+		return v.c.Names[zone]
+	}
+	return fmt.Sprint("zone ", zone)
+}
+
+// ramp is the part of its load that a returning hub may have by the time since it came back.
+func (v *View) ramp(now Time, s *site) float64 {
+	return min(1, startsAt+cmp.Or(v.Rate, backRate)*(now-s.since).Seconds())
+}
+
+// draw works out which hub pulls how much. Parents of a branch's own hub count with their weight, those of others not
+// at all, but for the part that the own hub does not get: that is shared among the others as the plan says. Objects are
+// placed by a hash in which these weights count, so that with each change only those objects move that have to.
+func (v *View) draw(now Time) {
+	own := v.Part(now, v.c.Hub)
+	clear(v.pull)
+	v.pull[v.c.Hub] = own
+	if v.advice = (Advice{}); own >= 1 {
+		return
+	}
+	carries := make([]float64, len(v.sites))
+	for z := range v.sites {
+		carries[z] = v.sites[z].carries
+	}
+	if v.Plan != nil {
+		lost := v.Missing()
+		if !slices.Contains(lost, v.c.Hub) { // it is coming back: what it does not get yet goes where all of it went
+			lost = append(lost, v.c.Hub)
+			slices.Sort(lost)
+		}
+		v.advice = v.Plan(lost, carries)
+	}
+	for z := range v.sites {
+		share := 1.0
+		if len(v.advice.Hubs) == len(v.sites) {
+			share = v.advice.Hubs[z]
+		}
+		if z != v.c.Hub && carries[z] > 0 {
+			v.pull[z] = (1 - own) * share * v.Part(now, z) * max(carries[v.c.Hub], 1) / carries[z]
+		}
+	}
+}
+
+// Pull is what the weight of a zone's parents counts for the objects of our branch; 0: they come after all others.
+func (v *View) Pull(zone int) float64 {
+	if zone < 0 || zone >= len(v.pull) {
+		return 0
+	}
+	return v.pull[zone]
+}
+
+// Fills is the part of a class's fills that may go on to the origin, by the plan and by the pace at which a lost hub's
+// objects move to others, which hold none of them yet.
+func (v *View) Fills(now Time, class int) float64 {
+	part := 1.0
+	if class < len(v.advice.Fills) {
+		part = v.advice.Fills[class]
+	}
+	if s := &v.sites[v.c.Hub]; v.Rate > 0 && s.state.gone() {
+		part = min(part, v.Rate*(now-s.since).Seconds())
+	}
+	return part
+}
+
+// State is how a site fares, and since when.
+func (v *View) State(zone int) (State, Time) { return v.sites[zone].state, v.sites[zone].since }
+
+// Alone tells that the director itself is cut off.
+func (v *View) Alone() bool { return v.alone }
+
+// Part is the part of its usual load that a site may get now. A site that comes back in part gets a part: as much as
+// of its servers are ready and have not failed.
+func (v *View) Part(now Time, zone int) float64 {
+	if zone < 0 || zone >= len(v.sites) {
+		return 0
+	}
+	switch s := &v.sites[zone]; {
+	case !s.seen, s.state == Well, s.state == MemberLost:
+		return 1
+	case s.state.gone():
+		return 0
+	default:
+		return min(v.ramp(now, s), max(s.present(now), startsAt))
+	}
+}
+
+// present is the part of a site's servers, by weight, that are ready and have not failed lately.
+func (s *site) present(now Time) float64 {
+	have, all := 0.0, 0.0
+	for _, m := range s.members {
+		all += m.weight
+		if m.up && (m.refused == 0 || now-m.refused > failAge) {
+			have += m.weight
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return have / all
+}
+
+// Missing are the zones that get nothing now, in order.
+func (v *View) Missing() (zones []int) {
+	for z := range v.sites {
+		if v.sites[z].state.gone() {
+			zones = append(zones, z)
+		}
+	}
+	return zones
+}
+
+// Shut tells that nothing can be done for the clients of our branch, as its caches are lost; and it is not us.
+func (v *View) Shut() bool { return !v.alone && v.sites[v.c.Own].state.gone() }
+
+// Returning tells that our branch is coming back, so that what it can do goes to what is wanted most.
+func (v *View) Returning() bool { return v.sites[v.c.Own].state == Returning }
+
+// LookIn is how long it is until an answer of a lost site would count as its return: a client that is refused may as
+// well stay away for that long. 0: the site is not lost.
+func (v *View) LookIn(now Time, zone int) time.Duration {
+	s := &v.sites[zone]
+	if !s.state.gone() {
+		return 0
+	}
+	return max(time.Millisecond, time.Duration(math.Max(0, float64(s.since+s.wait-now))))
+}
--- /dev/null
+++ b/internal/siteview/view_test.go
@@ -0,0 +1,252 @@
+package siteview
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+// fleet is a branch of five caches (zone 2) with its own hub of two parents (zone 0) and another hub of two (zone 1).
+type fleet struct {
+	t     *testing.T
+	v     *View
+	now   Time
+	m     map[string]*Member
+	lines []string
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, v: New(Config{Names: []string{"west", "east", "edge"}, Own: 2, Hub: 0}), now: 100 * time.Second,
+		m: map[string]*Member{}}
+	for zone, n := range []int{2, 2, 5} {
+		for i := range n {
+			f.join(fmt.Sprintf("%c%d", "wec"[zone], i), zone, true, 0)
+		}
+	}
+	return f
+}
+
+func (f *fleet) join(name string, zone int, up bool, started Time) {
+	f.m[name] = f.v.Join(f.now, f.m[name], zone, 10, up, started)
+}
+
+// play does steps: "c1 answers", "c1 refuses", "c1 silent", "200" (milliseconds pass), "c1 gone", "c1 starts".
+func (f *fleet) play(script string) *fleet {
+	for _, step := range strings.Split(script, ", ") {
+		who, what, _ := strings.Cut(strings.TrimSpace(step), " ")
+		zone := strings.IndexByte("wec", who[0])
+		switch what {
+		case "":
+			d, err := time.ParseDuration(who + "ms")
+			if err != nil {
+				f.t.Fatal(err)
+			}
+			for until := f.now + d; f.now < until; {
+				f.now = min(until, f.now+50*ms)
+				f.tick()
+			}
+		case "answers":
+			f.m[who].Answered(f.now)
+		case "refuses":
+			f.m[who].Refused(f.now)
+		case "silent":
+			f.m[who].Silent(f.now, f.now-300*ms)
+		case "gone":
+			f.join(who, zone, false, 0)
+		case "starts":
+			f.join(who, zone, true, f.now)
+		default:
+			f.t.Fatalf("no step %q", step)
+		}
+	}
+	return f
+}
+
+func (f *fleet) tick() { f.v.Tick(f.now, func(c Change) { f.lines = append(f.lines, c.String()) }) }
+
+func (f *fleet) state(zone int) State { s, _ := f.v.State(zone); return s }
+
+func all(what string, who ...string) string {
+	var steps []string
+	for _, w := range who {
+		steps = append(steps, w+" "+what)
+	}
+	return strings.Join(steps, ", ")
+}
+
+func TestStatesFollowTheEvidence(t *testing.T) {
+	caches := []string{"c0", "c1", "c2", "c3", "c4"}
+	for name, c := range map[string]struct {
+		script string
+		zone   int
+		want   State
+	}{
+		"nothing is known":                     {"1000", 2, Well},
+		"one cache of five is lost":            {"c0 refuses, 100, c1 answers, 100, c0 refuses, 100", 2, MemberLost},
+		"and again, with nobody else asked":    {"c0 refuses, 100, c0 refuses, 100, c0 refuses, 100", 2, MemberLost},
+		"two refuse, with an answer between":   {"c0 refuses, 100, c2 answers, c1 refuses, 100", 2, MemberLost},
+		"three refuse, none answers":           {"c0 refuses, 100, c1 refuses, 100, c2 refuses, 100", 2, Lost},
+		"two of five refuse, none answers":     {"c0 refuses, c1 refuses, 100", 2, MemberLost},
+		"one answer is lost":                   {"c0 silent, c1 silent, c2 silent, 100", 2, MemberLost},
+		"all are silent":                       {all("silent", caches...) + ", 100", 2, CutOff},
+		"three are silent for long":            {"c0 silent, c0 silent, c0 silent, c1 silent, c1 silent, c1 silent, c2 silent, 100", 2, CutOff},
+		"failures that are long past":          {"c0 refuses, 4900, c1 answers, 200, c1 refuses, 100", 2, MemberLost},
+		"the list has none left":               {all("gone", caches...) + ", 100", 2, Lost},
+		"the list has one left":                {all("gone", caches[1:]...) + ", 100", 2, Well},
+		"one left, and it refuses":             {all("gone", caches[1:]...) + ", c0 refuses, 100", 2, Lost},
+		"a hub is lost":                        {"w0 refuses, w1 refuses, 100", 0, Lost},
+		"and the other is not":                 {"w0 refuses, w1 refuses, 100", 1, Well},
+		"one answers, before its time to":      {"c0 refuses, c1 refuses, c3 refuses, 100, c2 answers, 100", 2, Lost},
+		"an answer behind it":                  {"c0 refuses, c1 refuses, c3 refuses, 100, c2 answers, 500", 2, Returning},
+		"by the list, before anybody is asked": {"c0 refuses, c1 refuses, c3 refuses, 600, c2 starts, 50", 2, Returning},
+		"time alone heals nobody":              {"c0 refuses, c1 refuses, c3 refuses, 600, c2 starts, 60000", 2, Returning},
+		"eight answers do": {"c0 refuses, c1 refuses, c3 refuses, 600, " + all("starts", caches...) +
+			", 5000, " + all("answers", append(caches, caches...)...) + ", 100", 2, Well},
+		"lost again on the way": {"c0 refuses, c1 refuses, c3 refuses, 600, c2 answers, 50, c2 refuses, c0 refuses, c3 refuses, 100", 2, Relapsed},
+		"and it waits longer": {"c0 refuses, c1 refuses, c3 refuses, 600, c2 answers, 50, c2 refuses, c0 refuses, c3 refuses, 100, 700, c2 answers, 50",
+			2, Relapsed},
+		"but not for good": {"c0 refuses, c1 refuses, c3 refuses, 600, c2 answers, 50, c2 refuses, c0 refuses, c3 refuses, 100, 1000, c2 answers, 50",
+			2, Returning},
+	} {
+		if f := newFleet(t).play(c.script); f.state(c.zone) != c.want {
+			t.Errorf("%s: %v, want %v: %q", name, f.state(c.zone), c.want, f.lines)
+		}
+	}
+}
+
+// A director that hears nobody is cut off itself: it calls nobody lost, and takes up its work where it was.
+func TestCutOffItself(t *testing.T) {
+	silence := all("silent", "c0", "c1", "c2", "w0", "w1", "e0", "e1")
+	f := newFleet(t).play("c0 answers, 100, c0 silent, w0 silent, 1000, " + silence + ", 100")
+	if !f.v.Alone() || f.v.Counters.Alone != 1 {
+		t.Fatalf("not known as cut off: %q", f.lines)
+	}
+	f.play(silence + ", " + silence + ", 3000")
+	for z := range 3 {
+		if f.state(z).gone() {
+			t.Errorf("zone %d is %v: %q", z, f.state(z), f.lines)
+		}
+	}
+	if f.v.Shut() {
+		t.Error("it refuses all its clients, though it knows of no loss")
+	}
+	f.play("c1 answers, 100")
+	if f.v.Alone() || f.state(2) != Well || f.v.Part(f.now, 0) != 1 {
+		t.Errorf("not back as it was: %q", f.lines)
+	}
+	// One site silent, another refusing or answering: it is not us.
+	for _, sign := range []string{"e0 answers", "e0 refuses"} {
+		f := newFleet(t).play("w0 silent, c0 silent, 500, " + sign + ", " + all("silent", "c0", "c1", "c2", "c3", "c4") + ", 1200, " + sign + ", 100")
+		if f.v.Alone() || f.state(2) != CutOff {
+			t.Errorf("%s: alone %v, the branch %v", sign, f.v.Alone(), f.state(2))
+		}
+	}
+}
+
+// What a lost hub leaves is shared by the plan, and goes back by and by, in parts that always make one.
+func TestPullsFollowThePlan(t *testing.T) {
+	f := newFleet(t)
+	f.v.Plan = func(lost []int, carries []float64) Advice {
+		if !slices.Equal(lost, []int{0}) || !slices.Equal(carries, []float64{20, 20, 50}) {
+			t.Errorf("asked with %v lost of %v", lost, carries)
+		}
+		return Advice{Hubs: []float64{0, 0.8, 0}, Fills: []float64{1, 0.25}}
+	}
+	f.v.Rate = 0.5
+	if f.play("100"); f.v.Pull(0) != 1 || f.v.Pull(1) != 0 || f.v.Fills(f.now, 1) != 1 {
+		t.Errorf("well: pulls %v, %v", f.v.Pull(0), f.v.Pull(1))
+	}
+	f.play("w0 refuses, w1 refuses, 1000")
+	if f.v.Pull(0) != 0 || f.v.Pull(1) != 0.8 || f.v.Fills(f.now, 1) != 0.25 {
+		t.Errorf("lost: pulls %v, %v, fills %v", f.v.Pull(0), f.v.Pull(1), f.v.Fills(f.now, 1))
+	}
+	if part := f.v.Fills(f.now, 0); part < 0.3 || part > 0.5 {
+		t.Errorf("a second after the loss at half a second's rate, %v of the fills have moved", part)
+	}
+	f.play("w0 answers, 50")
+	before, most := f.v.Pull(0), 0.5*0.05
+	if before <= 0 || before > startsAt+most+1e-9 {
+		t.Errorf("comes back with %v of it", before)
+	}
+	for range 60 {
+		f.play("w0 answers, w1 answers, 50")
+		own := f.v.Pull(0)
+		if own < before || own-before > most+1e-9 {
+			t.Fatalf("went from %v to %v of it in 50 ms", before, own)
+		}
+		if rest := f.v.Pull(1); rest != 0 && (rest/0.8+own > 1+1e-9 || rest/0.8+own < 1-1e-9) {
+			t.Fatalf("parts %v and %v", own, rest)
+		}
+		before = own
+	}
+	if f.state(0) != Well || f.v.Pull(0) != 1 {
+		t.Errorf("%v with %v", f.state(0), f.v.Pull(0))
+	}
+}
+
+// Whatever happens: pulls are parts, a lost site gets none, and a change is told once for each.
+func TestViewKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(t)
+		names := slices.Sorted(func(yield func(string) bool) {
+			for n := range f.m {
+				if !yield(n) {
+					return
+				}
+			}
+		})
+		for range rapid.IntRange(1, 200).Draw(rt, "steps") {
+			who := rapid.SampledFrom(names).Draw(rt, "who")
+			f.play(who + " " + rapid.SampledFrom([]string{"answers", "refuses", "silent", "gone", "starts"}).Draw(rt, "what"))
+			if rapid.Bool().Draw(rt, "time") {
+				f.play(fmt.Sprint(rapid.IntRange(1, 1500).Draw(rt, "ms")))
+			}
+			for z := range 3 {
+				state, since := f.v.State(z)
+				if part := f.v.Part(f.now, z); !(part >= 0 && part <= 1) || (state.gone() && part != 0) || since > f.now {
+					rt.Fatalf("zone %d is %v since %v and gets %v", z, state, since, part)
+				}
+				if p := f.v.Pull(z); !(p >= 0 && p <= 2) {
+					rt.Fatalf("zone %d pulls %v", z, p)
+				}
+			}
+			if wait := f.v.LookIn(f.now, 2); wait < 0 || wait > waitMost || (wait > 0) != f.state(2).gone() {
+				rt.Fatalf("%v: look in %v", f.state(2), wait)
+			}
+		}
+		if c := f.v.Counters; c.Relapses > c.Returns || c.Recoveries > c.Returns {
+			rt.Fatalf("%+v", c)
+		}
+	})
+}
+
+// Ten minutes in which single caches go and come, one at a time, are no loss of a site.
+func TestSingleLossesAreNoSiteLoss(t *testing.T) {
+	f := newFleet(t)
+	for minute := range 10 {
+		for k := range 10 {
+			bad := (minute*7 + k) % 5
+			for range 12 {
+				for c := range 5 {
+					switch who := fmt.Sprintf("c%d", c); {
+					case c != bad:
+						f.play(who + " answers, 100")
+					case k%2 == 0:
+						f.play(who + " refuses, 100")
+					default:
+						f.play(who + " silent, 100")
+					}
+				}
+			}
+		}
+	}
+	if c := f.v.Counters; c.Losses+c.CutOffs+c.Alone != 0 {
+		t.Errorf("%+v", c)
+	}
+}
--- a/rules/refusal_test.go
+++ b/rules/refusal_test.go
@@ -5,22 +5,31 @@
 	"time"
 )
 
-// A refusal that says nothing of a wait brings the client back at once, into the same jam.
+// A refusal that says nothing of a wait brings the client back at once, into the same jam. Where all of the site is
+// lost, nothing is gained before the next look there.
 func TestRefusalTellsWhenToComeBack(t *testing.T) {
 	for name, c := range map[string]struct {
+		lost        bool
 		allowed     bool
 		longest     time.Duration
 		least, most time.Duration
 	}{
-		"allowed":     {true, 500 * ms, 50 * ms, 100 * ms},
-		"cut short":   {true, 20 * ms, 20 * ms, 20 * ms},
-		"not allowed": {false, 500 * ms, 0, 0},
+		"allowed":     {false, true, 500 * ms, 50 * ms, 100 * ms},
+		"cut short":   {false, true, 20 * ms, 20 * ms, 20 * ms},
+		"not allowed": {false, false, 500 * ms, 0, 0},
+		"site lost":   {true, true, 5 * time.Second, 400 * ms, 1000 * ms},
 	} {
 		w := simpleWorld(t, func(s *Settings) {
 			s.Ceilings.RetryAfter, s.Ceilings.MaxRetryAfter = c.allowed, c.longest
 		})
-		w.list(Full) // nobody is left to ask
-		w.read(1, 7, 0)
+		w.answer = func(*world, *open, int) (Result, Note, time.Duration) { return Refused, NoNote, 5 * ms }
+		if c.lost {
+			w.list(Full) // nobody is left to ask
+			w.run(w.now + 100*ms)
+		}
+		if o := w.read(1, 7, 0); c.lost && !o.ended {
+			t.Errorf("%s: held, though it can only fail", name)
+		}
 		w.run(w.now + 4*time.Second)
 		got := -1 * ms
 		for _, a := range w.acts {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,8 +1,7 @@
 package rules
 
-// All decisions of shaleyard; docs/design.md tells the ordinary path. The interface (settings, events and
-// actions) is in rules/api.go; the types of what a router remembers are in state.go. Every attempt leaves
-// through send, every request ends through end.
+// All decisions of shaleyard; docs/design.md tells the ordinary path, api.go the interface, state.go what a
+// router remembers. Every attempt leaves through send, every request ends through end.
 
 import (
 	"cmp"
@@ -14,6 +13,7 @@
 	"time"
 
 	"shaleyard/internal/pacing"
+	"shaleyard/internal/siteview"
 )
 
 // Tuned values. Everything else is derived from the settings or observed.
@@ -57,7 +57,8 @@
 	d := &Router{s: s, rng: rand.New(rand.NewPCG(seed, 1)), servers: map[Host]*server{},
 		reqs: map[uint32]*request{}, tries: map[uint64]*attempt{},
 		cur: map[objectPart]*entry{}, prev: map[objectPart]*entry{},
-		purges: map[purgeKey]purge{}, shield: pacing.NewShield(s.Balancers)}
+		purges: map[purgeKey]purge{}, shield: pacing.NewShield(s.Balancers),
+		sites: siteview.New(siteview.Config{Names: s.Zones, Own: s.Zone, Hub: s.Family.HubByZone[s.Zone]})}
 	for _, c := range s.Services {
 		aim := c.Aim.Seconds() // of which sending is a part, or nothing would be in time
 		d.classes = append(d.classes, classStats{pacing.Guess(aim * guessWork), pacing.Guess(aim)})
@@ -156,6 +157,7 @@
 				return false
 			}
 			delete(d.servers, s.Host)
+			s.seen.Leave()
 			return true
 		case s.role != edge:
 			d.upper = append(d.upper, s)
@@ -194,10 +196,12 @@
 	case e.Kind == f.SecondTierKind:
 		s.role = parent
 		s.coldFrom, s.ramp, s.multiple = f.ParentColdFrom, f.ParentRamp, f.ParentFallMultiple
-		s.far = e.Zone != f.HubByZone[d.s.Zone]
 	case e.Zone == d.s.Zone:
 		s.seats = float64(max(f.SeatsByZone[e.Zone], 1))
 	}
+	if s.role != origin {
+		s.seen = d.sites.Join(d.now, s.seen, e.Zone, e.Weight, e.State == Ready, e.Started)
+	}
 }
 
 // advance sends the request's next attempt, holds it for a moment, or ends it.
@@ -206,7 +210,8 @@
 	case len(r.tries) >= d.s.Ceilings.MaxAttempts || d.now >= r.GiveUpAt:
 		d.end(r)
 	case d.route(r):
-	case !d.maySend(r, nil) || d.now-r.since > d.s.Services[r.Class].Aim/2, r.shut && r.tier == origin:
+	case d.sites.Shut() || !d.maySend(r, nil) || (r.shut && r.tier == origin),
+		d.now-r.since > d.s.Services[r.Class].Aim/2:
 		d.end(r)
 	default:
 		d.hold(r)
@@ -223,10 +228,9 @@
 	d.do(SetTimer{Token: requestTimer | uint64(r.ID), At: min(d.now+wait, r.GiveUpAt)})
 }
 
-// route tries the ordinary path and then its departures; it tells whether an attempt has left. What is
-// never kept goes straight to the origin, or through a cache with the origin as source. Where a cache is at
-// its limit, or is swamped and another one is not, the next in rank is asked that is not slow and far from
-// that: guards against refusals and late answers beside an idle cache. Harm: objects are filled once more.
+// route tries the ordinary path and then its departures; it tells whether an attempt has left. What is never
+// kept goes to the origin, straight or through a cache. Past a cache at its limit, or swamped while another
+// is not, the next in rank is asked that is not slow and far from that. Harm: objects are filled once more.
 func (d *Router) route(r *request) bool {
 	d.rank(d.caches, r.Object)
 	d.rank(d.upper, r.Object)
@@ -253,17 +257,16 @@
 	return d.bypass(r, last)
 }
 
-// fill asks a cache, with the source that the tiers give: sibling, parent, origin. A source that is at its
-// limit is passed over; where all are, the cache is asked once for what it holds, as others' traffic may have
-// filled it, and then the request waits. Where the origin is crowded (pacing.Shield), a part of the requests
-// asks parents for what they hold, and is refused what they lack.
+// fill asks a cache, with the source that the tiers give: sibling, parent, origin. A source at its limit is
+// passed over; where all are, the cache is asked once for what it holds, and the request waits. Where the
+// origin is crowded, or by the plan, a part of the requests gets what parents hold and is refused the rest.
 func (d *Router) fill(r *request, t *server) bool {
 	if s := d.sibling(r, t); (s != nil && d.send(r, t, s)) || d.askMasters(r) {
 		return true
 	}
 	limited, full := d.likelyFill(r, t) && !r.passOn, false
 	if limited && !r.drawn {
-		r.drawn, r.shut = true, d.rng.Float64() >= d.shield.Open(d.now)
+		r.drawn, r.shut = true, d.rng.Float64() >= min(d.shield.Open(d.now), d.sites.Fills(d.now, r.Class))
 	}
 	tells := limited && !r.shut && !d.s.Family.MergesFills && d.s.Family.NotesGiven == "all"
 	if tells && d.firsts.Look(d.now, t.cold != 0, d.shield.Open(d.now), max(r.looks, len(r.tries))) &&
@@ -286,9 +289,8 @@
 	return d.send(r, t, nil)
 }
 
-// bypass goes straight to a parent, or up to the origin, where the site allows it and their limits do. It
-// acts where no cache may be asked, or (parents only) where the one picked has all it can answer in time:
-// the links of a location mostly have room for it. Harm: nothing is kept, and bytes of the links are used.
+// bypass goes straight to a parent, or up to the origin, where the site and their limits allow it: where no
+// cache may be asked, or (parents only) the one picked has all it can answer in time. Harm: nothing is kept.
 func (d *Router) bypass(r *request, last role) bool {
 	for _, s := range d.upper {
 		master := d.upper[len(d.upper)-1]
@@ -458,8 +460,7 @@
 }
 
 // lesson notes what a failure rules out for its request, and tells whether it must wait: who is full stays
-// full for a moment, and to try elsewhere at once doubles fills and load where both are short. Guards
-// against retry storms in any jam. Harm: a request waits though another cache had room.
+// full for a moment, and to go elsewhere at once doubles a jam. Harm: it waits though another had room.
 func (d *Router) lesson(r *request, a *attempt, o Outcome) (wait bool) {
 	src, full := a.source, o.Result == Refused && (o.Note == NoNote || o.Note == NoteNoFillSlot)
 	untold := full && o.Note == NoNote && d.s.Family.NotesGiven != "all" // who refused: the source may have
@@ -488,13 +489,13 @@
 }
 
 // retryAfter is for how long a refused client is asked to stay away: as long as a request with no permitted
-// target waits here. Guards against retries at once, which find the same jam; longer, and in an overload
-// what comes back comes too late to be served in time.
+// target waits here; longer, and what comes back comes too late. From a lost site: until a look.
 func (d *Router) retryAfter() time.Duration {
 	if !d.s.Ceilings.RetryAfter {
 		return 0
 	}
-	return min(d.s.Ceilings.MaxRetryAfter, holdFor+time.Duration(d.rng.Int64N(int64(holdFor))))
+	wait := max(holdFor, d.sites.LookIn(d.now, d.s.Zone))
+	return min(d.s.Ceilings.MaxRetryAfter, wait+time.Duration(d.rng.Int64N(int64(wait))))
 }
 
 // end is the one place where a request is answered by us. A refusal is given where the rules allow it.
@@ -535,8 +536,10 @@
 		switch s.score = -d.weight(s) / math.Log(u); {
 		case s.role == origin:
 			s.score = math.Inf(-1)
-		case s.far:
-			s.score = -1 / s.score // after all of our hub, in the same order
+		case s.role == parent && d.sites.Pull(s.Zone) == 0 && !d.mayLook(s):
+			s.score = -1 / s.score // after all that get some by plan, in the same order
+		case s.role == parent:
+			s.score *= cmp.Or(d.sites.Pull(s.Zone), 1)
 		}
 	}
 	slices.SortFunc(group, func(a, b *server) int {
@@ -545,9 +548,7 @@
 }
 
 // weight is what a server can take now, compared with others. A cache that answers slower than the faster
-// third of its location loses weight by degrees. Guards against hosts that are slow, get slower or lose
-// answers; what all share (a slow origin, a full link) moves nothing. Harm: objects move, and are filled
-// again.
+// third of its location loses weight by degrees; what all share (a slow origin, a full link) moves nothing.
 func (d *Router) weight(s *server) float64 {
 	w := d.share(s)
 	if s.sized {
@@ -580,10 +581,8 @@
 }
 
 // throttle keeps the limits of our work out. A limit belongs to what was late or refused: a hit's to the
-// cache, a fill's to its source; work done in time near it raises it. What is beyond takes another source or
-// waits, and is refused once it could hardly be in time. All that are late in one crowd lower it together to
-// a part of the load beside which they would have been in time, lest one crowd shut a cache for seconds.
-// Guards against overload, slow sources and caches. Harm: where no sizes are told, large ones look late.
+// cache, a fill's to its source; work in time near it raises it. All that are late in one crowd lower it
+// together to a part of the load beside which they would have been in time. Harm: large objects look late.
 func (d *Router) throttle(a *attempt, o Outcome) {
 	t, s := blamed(a)
 	switch {
@@ -733,31 +732,32 @@
 	switch o.Result {
 	case OK, Miss, Refused, Errored:
 		t.heard = d.now
+		t.seen.Answered(d.now)
 		if t.ejected && (a.look || o.Result == OK) {
 			d.readmit(t)
 		}
-	case Reset: // says nothing of the host: answers arrive spoilt. A dead one refuses the next connection
-		if a.look {
-			d.eject(looked(a), "look reset")
-		}
 	case ConnectFailed:
+		t.seen.Refused(d.now)
 		d.eject(t, "connection failed")
 	case TimedOut:
-		if a.look {
-			d.eject(looked(a), "look unanswered")
-		}
+		t.seen.Silent(d.now, a.sent)
+	}
+	if a.look && (o.Result == TimedOut || o.Result == Reset) { // else a reset tells nothing
+		d.eject(looked(a), "look unanswered")
 	}
 	untold := o.Note == NoNote && (o.Result == OK || o.Result == Miss)
 	switch {
 	case src == nil:
 	case o.Note == NoteSourceUnreached:
 		// Quickly: it is down. Late: perhaps crowded, and to eject it would crowd the others in a cascade.
+		src.seen.Unreached(d.now, a.sent, o.Waited < quickly)
 		if n := src.missed.Add(d.now); src.ejected || o.Waited < quickly || (n >= 3 && d.spare(src)) {
 			d.eject(src, "source not reached")
 		}
 	case untold, o.Note == NoteSourceRefused, o.Note == NoteSourceLacks, o.Note == NoteOriginFailed,
 		o.Note >= NoteFilled && o.Note <= NoteJoined:
 		src.missed, src.spoke = pacing.Streak{}, d.now
+		src.seen.Answered(d.now)
 		if src.ejected {
 			d.readmit(src)
 		}
@@ -808,6 +808,7 @@
 // tick takes attempts that are out for long as samples of pace, and sweeps.
 func (d *Router) tick() {
 	d.do(SetTimer{Token: tickTimer, At: d.now + tickEvery})
+	d.sites.Tick(d.now, func(c siteview.Change) { d.do(Log{Text: c.String()}) })
 	for _, s := range d.caches {
 		for _, a := range s.to.out {
 			if d.now-a.sent > max(a.doubled, 2*a.expect) {
--- a/rules/settings.go
+++ b/rules/settings.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"shaleyard/internal/siteview"
 )
 
 // validate names the first field that cannot work.
@@ -55,6 +57,13 @@
 	return nil
 }
 
+// Follow sets the plan that is followed when whole sites are lost, and the part of a site's traffic that moves in a
+// second at most; 0: as it comes. It comes before the first event.
+func (d *Router) Follow(plan siteview.Plan, rate float64) { d.sites.Plan, d.sites.Rate = plan, rate }
+
+// Sites counts what was seen of whole sites.
+func (d *Router) Sites() siteview.Counters { return d.sites.Counters }
+
 // fill gives lists that were left out their full length, with zeros.
 func (s *Settings) fill() {
 	n, z, f := len(s.Services), max(len(s.Zones), 1), &s.Family
