Play the loss of whole sites in the laboratory: branches, hubs and what breaks them

Need: the loss of a branch or a hub can't be shown by a laboratory that has one of each.

Change: experiments have branches and hubs; caches, parents, directors and clients are spread over them. Steps site-kill, site-silent and site-busy break a share of a site's servers; what died comes back cold, under new ids at the old addresses, and the list tells of it late seconds later. Director and link steps can be kept to a site or to one director. A silent source makes a fill wait, a dead one fails it at once, and a parent's crowded link makes it late; the time a fill has waited is told. Directors' log lines on sites go into the record. The checker reads served_share_loss beside the bound by true capacity (a linear program with one shared constraint, so solved in closed form), survivor_peak, detect_ms_p95, false_alarms, moves_per_event, return_ms_90 and the classes' refusals; its tests break each of them. `yardlab list` without a folder printed nothing and ended with 0; it lists experiments/ now, and a folder without any is an error.

Ruled out: the laboratory's earlier state of dead parents, which went on serving fills of caches after kill steps.

--- a/cmd/yardlab/main.go
+++ b/cmd/yardlab/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -220,10 +221,14 @@
 
 // Run lists the experiments; one that can't be read is an error.
 func (c *listCommand) Run(o *console) error {
+	c.Folder = cmp.Or(c.Folder, "experiments")
 	files, err := filepath.Glob(filepath.Join(c.Folder, "*.toml"))
 	if err != nil {
 		return err
 	}
+	if len(files) == 0 {
+		return fmt.Errorf("no experiments in %s", c.Folder)
+	}
 	slices.Sort(files)
 	for _, f := range files {
 		x, err := lab.Load(f)
--- a/cmd/yardlab/main_test.go
+++ b/cmd/yardlab/main_test.go
@@ -40,6 +40,7 @@
 		{[]string{"run", "../../experiments/skew.toml", "--load", "0"}, unusable, "--load: 0"},
 		{[]string{"run", "../../experiments/skew.toml", "--binary", good + "x"}, unusable, "--binary"},
 		{[]string{"list", "../../experiments"}, pass, "stopped-half"},
+		{[]string{"list"}, unusable, "no experiments in"},
 		{[]string{"list", filepath.Dir(odd)}, unusable, "odd.toml:2"},
 		{[]string{"fly"}, unusable, "unexpected argument"},
 		{[]string{"--help"}, pass, "Play an experiment"},
--- a/internal/lab/clients.go
+++ b/internal/lab/clients.go
@@ -227,7 +227,8 @@
 			continue
 		}
 		k.mu.Lock()
-		director := k.pick()
+		branch := k.rng.IntN(k.l.x.Branches)
+		director := k.pick(branch)
 		object := fmt.Sprintf("%016x", 1+k.zipf.Uint64())
 		class := "media"
 		if k.rng.Float64() < k.l.x.Clients.Repayments {
@@ -235,7 +236,7 @@
 		}
 		k.mu.Unlock()
 		if director < 0 {
-			k.l.record.add(Event{Kind: "nowhere"})
+			k.l.record.add(Event{Kind: "nowhere", Site: branchName(branch)})
 			continue
 		}
 		k.open.Add(1)
@@ -247,14 +248,14 @@
 	k.open.Wait()
 }
 
-// pick is a director that the front has taken in; director 0 may get several times the mean.
-func (k *crowd) pick() int {
+// pick is a director of a branch that the front has taken in; director 0 may get several times the mean.
+func (k *crowd) pick(branch int) int {
 	n := len(k.l.directors)
-	if s := k.l.x.Clients.Skew; s > 0 && k.l.directors[0].inFront() && k.rng.Float64() < s/float64(n) {
+	if s := k.l.x.Clients.Skew; s > 0 && branch == 0 && k.l.directors[0].inFront() && k.rng.Float64() < s/float64(n) {
 		return 0
 	}
 	for range 4 * n {
-		if d := k.rng.IntN(n); k.l.directors[d].inFront() {
+		if d := k.rng.IntN(n); k.l.branchOf(d) == branch && k.l.directors[d].inFront() {
 			return d
 		}
 	}
@@ -280,7 +281,7 @@
 		if wait == 0 {
 			wait = time.Duration(20+k.rng.IntN(60)) * time.Millisecond
 		}
-		if d := k.pick(); d >= 0 {
+		if d := k.pick(k.l.branchOf(director)); d >= 0 {
 			director = d
 		}
 		k.mu.Unlock()
@@ -301,7 +302,7 @@
 	args := submitArgs(body, "service", class, "ref", ref, "allow", strconv.FormatInt(allow.Milliseconds(), 10),
 		"lookup", object, "chunk", "0", "tag", "0", "room", "100")
 	k.l.record.add(Event{Kind: "ask", Ref: ref, Director: directorName(director), Class: class, Object: object,
-		Allow: float64(allow.Milliseconds()), Again: again})
+		Site: branchName(k.l.branchOf(director)), Allow: float64(allow.Milliseconds()), Again: again})
 	c, ch, seq := k.send(director, func(seq int32) []byte { return thriftCall(1, "submit", seq, args) })
 	if ch == nil {
 		k.l.record.add(Event{Kind: "answer", Ref: ref, Director: directorName(director), What: "unreached"})
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -16,7 +16,9 @@
 	Name      string  `toml:"name"`
 	About     string  `toml:"about"`
 	Directors int     `toml:"directors"`
-	Seconds   float64 `toml:"seconds"` // of load; the run ends when all is answered, some seconds later
+	Branches  int     `toml:"branches"` // directors, caches and clients are spread over them
+	Hubs      int     `toml:"hubs"`     // parents are spread over them; each branch is attached to one
+	Seconds   float64 `toml:"seconds"`  // of load; the run ends when all is answered, some seconds later
 	Seed      uint64  `toml:"seed"`
 
 	List    ListSpec   `toml:"list"`
@@ -78,6 +80,9 @@
 	Over    float64 `toml:"over"`   // seconds over which the servers are replaced in turn
 	DelayMS float64 `toml:"delay_ms"`
 	Link    string  `toml:"link"` // list, caches, parents or clients: between those and the drawn directors
+	Site    string  `toml:"site"` // branch-1 or hub-1 and so on: only its directors or servers
+	Late    float64 `toml:"late"` // seconds by which the list tells of a site late
+	Only    int     `toml:"only"` // the one director that it is done to, counted from 1; 0: the share
 }
 
 // Bound is what a figure must keep to.
@@ -97,6 +102,7 @@
 	"list-older": "list", "list-break": "list",
 	"replace": "caches", "replace-parents": "parents", "drain": "caches", "kill-caches": "caches",
 	"silence-caches": "caches", "origin-slow": "origin", "purge": "", "burst": "",
+	"site-kill": "site", "site-silent": "site", "site-busy": "site",
 	"cut": "link", "silence": "link", "one-way": "link", "delay": "link", "reset": "link", "drip": "link",
 }
 
@@ -111,7 +117,7 @@
 
 // Parse checks the text of an experiment; the name of its file is for errors.
 func Parse(file string, text []byte) (*Experiment, error) {
-	x := &Experiment{Name: strings.TrimSuffix(filepath.Base(file), ".toml"), Directors: 24, Seconds: 10, Seed: 1,
+	x := &Experiment{Name: strings.TrimSuffix(filepath.Base(file), ".toml"), Directors: 24, Branches: 1, Hubs: 1, Seconds: 10, Seed: 1,
 		Caches: ServerSpec{Count: 6, Weight: 40, ColdFrom: 0.25, RampMS: 4000, FallMS: 1000, Multiple: 2, LatencyMS: 2,
 			Joins: true},
 		Parents: ServerSpec{Count: 2, Weight: 60, ColdFrom: 0.25, RampMS: 4000, FallMS: 1000, Multiple: 2, LatencyMS: 5,
@@ -133,7 +139,8 @@
 		key              string
 		value, low, high float64
 	}
-	limits := []limit{{"directors", float64(x.Directors), 1, 400}, {"seconds", x.Seconds, 1, 600},
+	limits := []limit{{"directors", float64(x.Directors), 1, 400}, {"seconds", x.Seconds, 1, 900},
+		{"branches", float64(x.Branches), 1, float64(x.Directors)}, {"hubs", float64(x.Hubs), 1, float64(x.Parents.Count)},
 		{"list.calls_per_second", x.List.CallsPerSecond, 0, 1e5}, {"list.queue", float64(x.List.Queue), 0, 1e5},
 		{"origin.per_second", x.Origin.PerSecond, 1, 1e6}, {"origin.latency_ms", x.Origin.LatencyMS, 0, 1e4},
 		{"clients.per_second", x.Clients.PerSecond, 0, 1e5}, {"clients.objects", float64(x.Clients.Objects), 1, 1e6},
@@ -159,7 +166,16 @@
 		if on == "link" && !slices.Contains([]string{"list", "caches", "parents", "clients"}, s.Link) {
 			return at("link"), fmt.Sprintf("%q is no link", s.Link)
 		}
-		limits = append(limits, limit{at("at"), s.At, 0, x.Seconds}, limit{at("share"), s.Share, 0, 1},
+		switch sites := x.sites(); {
+		case on == "site" && s.Site == "":
+			return at("do"), fmt.Sprintf("%s needs a site", s.Do)
+		case s.Site != "" && !slices.Contains(sites, s.Site):
+			return at("site"), fmt.Sprintf("%q is none of %s", s.Site, strings.Join(sites, ", "))
+		case s.Site != "" && on != "site" && on != "directors" && on != "link":
+			return at("site"), fmt.Sprintf("%s is not done to a site", s.Do)
+		}
+		limits = append(limits, limit{at("late"), s.Late, 0, 60}, limit{at("only"), float64(s.Only), 0, float64(x.Directors)},
+			limit{at("at"), s.At, 0, x.Seconds}, limit{at("share"), s.Share, 0, 1},
 			limit{at("for"), s.For, 0, 600}, limit{at("factor"), s.Factor, 0, 100}, limit{at("back"), float64(s.Back), 0, 1e4},
 			limit{at("over"), s.Over, 0, 600}, limit{at("delay_ms"), s.DelayMS, 0, 1e4})
 	}
@@ -179,6 +195,17 @@
 	return "", ""
 }
 
+// sites are the names of all sites.
+func (x *Experiment) sites() (names []string) {
+	for i := range x.Hubs {
+		names = append(names, hubName(i))
+	}
+	for i := range x.Branches {
+		names = append(names, branchName(i))
+	}
+	return names
+}
+
 // Scale plays the experiment with another number of directors: the load, and what the servers bear, go with it.
 func (x *Experiment) Scale(directors int) {
 	by := float64(directors) / float64(x.Directors)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -109,7 +109,7 @@
 	return len(s.lines)
 }
 
-func (l *Lab) add(t tier, spec ServerSpec, addr *net.TCPAddr, cold bool) (*server, error) {
+func (l *Lab) add(t tier, zone string, spec ServerSpec, addr *net.TCPAddr, cold bool) (*server, error) {
 	l.mu.Lock()
 	l.next++
 	n := l.next
@@ -121,7 +121,7 @@
 	if addr == nil {
 		addr = &net.TCPAddr{IP: l.ip(int(t), n)}
 	}
-	s, err := l.newServer(name, t, spec, addr, cold)
+	s, err := l.newServer(name, zone, t, spec, addr, cold)
 	if err != nil {
 		return nil, err
 	}
@@ -135,21 +135,21 @@
 func (l *Lab) build() error {
 	x := l.x
 	l.list = newListService(l)
-	for range x.Caches.Count {
-		s, err := l.add(cacheTier, x.Caches, nil, x.Caches.Cold)
+	for i := range x.Caches.Count {
+		s, err := l.add(cacheTier, branchName(i%x.Branches), x.Caches, nil, x.Caches.Cold)
 		if err != nil {
 			return err
 		}
 		l.caches = append(l.caches, s)
 	}
-	for range x.Parents.Count {
-		s, err := l.add(parentTier, x.Parents, nil, x.Parents.Cold)
+	for i := range x.Parents.Count {
+		s, err := l.add(parentTier, hubName(i%x.Hubs), x.Parents, nil, x.Parents.Cold)
 		if err != nil {
 			return err
 		}
 		l.parents = append(l.parents, s)
 	}
-	origin, err := l.add(originTier, ServerSpec{Weight: 1000}, nil, false)
+	origin, err := l.add(originTier, hubName(0), ServerSpec{Weight: 1000}, nil, false)
 	if err != nil {
 		return err
 	}
@@ -193,7 +193,7 @@
 			since = s.since.UnixMilli()
 		}
 		text += fmt.Sprintf(`{"name":%q,"address":%q,"zone":%q,"type":%q,"group":0,"status":%q,"weight":%v,"since_ms":%d}`,
-			s.name, s.addr.String(), zoneNames[s.tier], kindNames[s.tier], s.state, s.spec.Weight, since)
+			s.name, s.addr.String(), s.zone, kindNames[s.tier], s.state, s.spec.Weight, since)
 	}
 	return fmt.Sprintf(`{"n":%d,"members":{"index":%d,"snapshot":%v,"endpoints":[%s]}}`, n, n, snapshot, text)
 }
@@ -202,7 +202,14 @@
 func (l *Lab) settings(me int) map[string]any {
 	const ms = 1e6
 	x := l.x
-	return map[string]any{"balancers": x.Directors, "me": me, "zone": 1, "dcs": []string{"hub", "branch"},
+	seats, hubs := make([]int, x.Hubs+x.Branches), make([]int, x.Hubs+x.Branches)
+	for i := range seats {
+		hubs[i] = i
+		if b := i - x.Hubs; b >= 0 {
+			seats[i], hubs[i] = (x.Directors-b+x.Branches-1)/x.Branches, b%x.Hubs
+		}
+	}
+	return map[string]any{"balancers": x.Directors, "me": me, "zone": x.Hubs + me%x.Branches, "dcs": x.sites(),
 		"kinds": kindNames, "quantum": 2 * ms, "registryMode": "automatic", "weights": "rough",
 		"report": map[string]any{"fields": []string{"active"}, "via": "inline"},
 		"services": []any{
@@ -216,8 +223,8 @@
 			"passOn": []bool{false, true}, "flowKbPerS": 100 / (x.Clients.TransferMS / 1000), "mergesFills": x.Caches.Joins,
 			"masterKind": 2, "secondTierKind": 1, "parentColdFrom": x.Parents.ColdFrom,
 			"parentFallMultiple": x.Parents.Multiple, "parentRamp": x.Parents.RampMS * ms, "purgeSlack": 500 * ms,
-			"purgeTakes": 6000 * ms, "lateral": "location", "notesGiven": "all", "seatsByZone": []int{0, x.Directors},
-			"hubByZone": []int{0, 0}}}
+			"purgeTakes": 6000 * ms, "lateral": "location", "notesGiven": "all", "seatsByZone": seats,
+			"hubByZone": hubs}}
 }
 
 // all starts every director at once.
@@ -244,6 +251,10 @@
 	if b := l.x.List.Begin; b != "" && b != "well" {
 		l.list.set(b, 1, 0)
 	}
+	l.record.add(Event{Kind: "capacity", Who: originName, Value: l.x.Origin.PerSecond})
+	for b := range l.x.Branches {
+		l.record.add(Event{Kind: "home", Who: branchName(b), What: hubName(b % l.x.Hubs)})
+	}
 	l.record.add(Event{Kind: "meta", What: l.x.Name, N: l.x.Directors, Value: 2000, Allow: 500})
 	if err := l.startAll(everyone, false); err != nil {
 		return err
@@ -372,8 +383,13 @@
 	}
 	on := doings[s.Do]
 	var ids []int
-	if on == "directors" || on == "link" {
-		ids = draw(rng, l.x.Directors, s.Share)
+	switch {
+	case on == "site":
+		return l.stepSite(s, rng)
+	case s.Only > 0:
+		ids = []int{s.Only - 1}
+	case on == "directors" || on == "link":
+		ids = l.drawDirectors(rng, s)
 	}
 	factor := s.Factor
 	if factor == 0 {
@@ -497,7 +513,7 @@
 				if k%2 == 0 {
 					addr = old.addr
 				}
-				fresh, err := l.add(t, spec, addr, true)
+				fresh, err := l.add(t, old.zone, spec, addr, true)
 				if err != nil {
 					l.fail(fmt.Errorf("replace %s: %w", old.name, err))
 					return
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -128,6 +128,11 @@
 		if kept != nil {
 			fmt.Fprintln(kept, log.Text())
 		}
+		if _, rest, ok := strings.Cut(log.Text(), `"msg":"site `); ok {
+			site, rest, _ := strings.Cut(rest, ": ")
+			state, _, _ := strings.Cut(rest, ", was ")
+			p.lab.record.add(Event{Kind: "state", Who: directorName(p.id), Site: site, What: state})
+		}
 		if _, rest, ok := strings.Cut(log.Text(), "listens on "); ok && !seen {
 			seen = true
 			address, _, _ := strings.Cut(rest, ": ")
--- a/internal/lab/record.go
+++ b/internal/lab/record.go
@@ -30,6 +30,8 @@
 	Since    float64 `json:"since,omitempty"`
 	Allow    float64 `json:"allow,omitempty"`
 	Again    bool    `json:"again,omitempty"`
+	Site     string  `json:"site,omitempty"`
+	Conns    int     `json:"conns,omitempty"`
 
 	// Of kind "life": what a server can bear.
 	Weight   float64 `json:"weight,omitempty"`
--- a/internal/lab/servers.go
+++ b/internal/lab/servers.go
@@ -25,9 +25,14 @@
 var (
 	kindNames = [...]string{"edge", "parent", "origin"}
 	linkNames = [...]string{"caches", "parents", "origin"}
-	zoneNames = [...]string{"branch", "hub", "hub"}
 )
 
+func hubName(i int) string    { return fmt.Sprintf("hub-%d", i+1) }
+func branchName(i int) string { return fmt.Sprintf("branch-%d", i+1) }
+
+// fillLimit is for how long a fill waits for a source that says nothing.
+const fillLimit = time.Second
+
 // copyOf is a copy that a server holds.
 type copyOf struct{ since time.Time }
 
@@ -46,6 +51,7 @@
 	lab  *Lab
 	name string
 	tier tier
+	zone string
 	spec ServerSpec
 	addr *net.TCPAddr
 
@@ -55,6 +61,8 @@
 	since   time.Time
 	cold    bool // since is a late start: the cold budget holds
 	silent  bool
+	busy    bool // turns all requests away
+	ended   bool // its process is gone
 	fell    bool
 	active  int
 	fills   int
@@ -74,8 +82,8 @@
 	work float64
 }
 
-func (l *Lab) newServer(name string, t tier, spec ServerSpec, addr *net.TCPAddr, cold bool) (*server, error) {
-	s := &server{lab: l, name: name, tier: t, spec: spec, addr: addr, state: "ready", since: time.Now(), cold: cold,
+func (l *Lab) newServer(name, zone string, t tier, spec ServerSpec, addr *net.TCPAddr, cold bool) (*server, error) {
+	s := &server{lab: l, name: name, zone: zone, tier: t, spec: spec, addr: addr, state: "ready", since: time.Now(), cold: cold,
 		part: 1, held: map[string]copyOf{}, under: map[string]*fill{}, conns: map[net.Conn]bool{}}
 	ln, err := net.ListenTCP("tcp", addr)
 	// The old process's socket is closed once its accept has returned, which may be a moment after it was told to.
@@ -87,7 +95,8 @@
 		return nil, err
 	}
 	s.ln, s.addr = ln, ln.Addr().(*net.TCPAddr)
-	e := Event{Kind: "life", Who: name, What: "up", Class: kindNames[t], Weight: spec.Weight}
+	e := Event{Kind: "life", Who: name, What: "up", Class: kindNames[t], Site: zone, Weight: spec.Weight,
+		Conns: spec.Conns}
 	if cold {
 		e.ColdFrom, e.Ramp, e.Fall, e.Multiple = spec.ColdFrom, spec.RampMS, spec.FallMS, spec.Multiple
 	}
@@ -121,12 +130,16 @@
 // down ends the process: its connections are reset, and new ones refused.
 func (s *server) down(what string) {
 	s.mu.Lock()
+	was := s.ended
+	s.ended = true
 	s.ln.Close()
 	for c := range s.conns {
 		reset(c)
 	}
 	s.mu.Unlock()
-	s.lab.record.add(Event{Kind: "life", Who: s.name, What: what})
+	if !was {
+		s.lab.record.add(Event{Kind: "life", Who: s.name, What: what, Site: s.zone})
+	}
 }
 
 func (s *server) serve(c net.Conn) {
@@ -195,7 +208,17 @@
 	if !s.bears(work) {
 		return
 	}
+	s.mu.Lock()
+	busy := s.busy
+	s.mu.Unlock()
+	if busy {
+		s.lab.record.add(Event{Kind: "done", Who: s.name, Director: directorName(director), Ref: ref, What: "BUSY"})
+		s.answer(w, write, ref, "BUSY", "-", "")
+		return
+	}
+	came := time.Now()
 	word, note, cp := s.take(ref, director, fields, words[3])
+	waited := time.Since(came)
 	if word == "OK" {
 		time.Sleep(s.transfer(work))
 		s.mu.Lock()
@@ -207,7 +230,7 @@
 	}
 	tail, body := "-", ""
 	if note != "" {
-		tail = "n=" + note
+		tail = fmt.Sprintf("n=%s,fill=%d", note, waited.Milliseconds())
 	}
 	e := Event{Kind: "done", Who: s.name, Director: directorName(director), Ref: ref, What: word, Class: note}
 	if word == "OK" {
@@ -347,8 +370,15 @@
 	s.lab.record.add(Event{Kind: "source", Who: up.name, Director: directorName(director), Ref: ref,
 		Object: fields["asset"], Work: s.lab.x.Clients.TransferMS / 1000})
 	up.mu.Lock()
-	dead := up.silent || up.fell || up.state == "gone"
+	dead, silent, busy := up.ended || up.fell || up.state == "gone", up.silent, up.busy
 	up.mu.Unlock()
+	switch {
+	case busy:
+		return false, "UP_BUSY", copyOf{}
+	case silent && !dead:
+		time.Sleep(fillLimit)
+		return false, "UP_DOWN", copyOf{}
+	}
 	if dead || !up.bears(s.lab.x.Clients.TransferMS/1000) {
 		return false, "UP_DOWN", copyOf{}
 	}
@@ -357,7 +387,14 @@
 		next["up"] = originName
 	}
 	word, note, cp := up.take(ref, director, next, "")
-	time.Sleep(time.Duration(up.spec.LatencyMS * float64(time.Millisecond)))
+	if work := s.lab.x.Clients.TransferMS / 1000; word == "OK" && up.tier == parentTier {
+		// The bytes are passed on as they come, so that only what a crowded link adds is waited for here.
+		took := up.transfer(work)
+		time.Sleep(max(0, took-time.Duration(work*float64(time.Second))))
+		up.set(func() { up.active-- })
+	} else {
+		time.Sleep(time.Duration(up.spec.LatencyMS * float64(time.Millisecond)))
+	}
 	switch {
 	case word == "OK" && up.tier == parentTier && (note == "HIT" || note == "COLLAPSED"):
 		return true, "MISS", cp // the protocol's word for a fill from the source's copy
--- /dev/null
+++ b/internal/lab/sites.go
@@ -0,0 +1,130 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// branchOf is the branch that a director serves.
+func (l *Lab) branchOf(director int) int { return director % l.x.Branches }
+
+// drawDirectors picks a share of the directors, or of those of a site: of a hub the ones whose branches are attached
+// to it.
+func (l *Lab) drawDirectors(rng *rand.Rand, s Step) (ids []int) {
+	var of []int
+	for i := range l.x.Directors {
+		b := l.branchOf(i)
+		if s.Site == "" || s.Site == branchName(b) || s.Site == hubName(b%l.x.Hubs) {
+			of = append(of, i)
+		}
+	}
+	for _, k := range draw(rng, len(of), s.Share) {
+		ids = append(ids, of[k])
+	}
+	return ids
+}
+
+// ofSite are the places of a site's servers in their group.
+func (l *Lab) ofSite(site string) (group *[]*server, t tier, places []int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, g := range []struct {
+		list *[]*server
+		t    tier
+	}{{&l.caches, cacheTier}, {&l.parents, parentTier}} {
+		for i, s := range *g.list {
+			if s.zone == site {
+				group, t, places = g.list, g.t, append(places, i)
+			}
+		}
+	}
+	return group, t, places
+}
+
+// stepSite breaks a share of a site's servers: their processes die, they say nothing, or turn all away. What died comes
+// back as new servers, cold and empty, at the old addresses. The list tells of a death, and of the return, late.
+func (l *Lab) stepSite(s Step, rng *rand.Rand) (do, undo func() error) {
+	var broken []*server
+	var places []int
+	var group *[]*server
+	var t tier
+	late := time.Duration(s.Late * float64(time.Second))
+	tell := func(f func()) {
+		if late == 0 {
+			f()
+			return
+		}
+		time.AfterFunc(late, f)
+	}
+	do = func() error {
+		var all []int
+		group, t, all = l.ofSite(s.Site)
+		places = nil
+		for _, k := range draw(rng, len(all), s.Share) {
+			places = append(places, all[k])
+		}
+		l.mu.Lock()
+		broken = nil
+		for _, i := range places {
+			broken = append(broken, (*group)[i])
+		}
+		l.mu.Unlock()
+		l.record.add(Event{Kind: "site", Who: s.Site, What: s.Do, N: len(broken), Value: float64(len(broken)) / float64(len(all))})
+		for _, b := range broken {
+			switch s.Do {
+			case "site-kill":
+				b.down("down")
+			case "site-silent":
+				b.set(func() { b.silent = true })
+			case "site-busy":
+				b.set(func() { b.busy = true })
+			}
+		}
+		if s.Do == "site-kill" {
+			gone := slices.Clone(broken)
+			tell(func() {
+				for _, b := range gone {
+					l.tell(b, "gone")
+				}
+			})
+		}
+		return nil
+	}
+	undo = func() error {
+		spec := l.x.Caches
+		if t == parentTier {
+			spec = l.x.Parents
+		}
+		var fresh []*server
+		for k, b := range broken {
+			if s.Do != "site-kill" {
+				b.set(func() { b.silent, b.busy = false, false })
+				continue
+			}
+			n, err := l.add(t, s.Site, spec, b.addr, true)
+			if err != nil {
+				return fmt.Errorf("%s comes back: %w", s.Site, err)
+			}
+			l.mu.Lock()
+			(*group)[places[k]] = n
+			l.mu.Unlock()
+			fresh = append(fresh, n)
+		}
+		l.record.add(Event{Kind: "site", Who: s.Site, What: "back", N: len(broken)})
+		tell(func() {
+			for _, n := range fresh {
+				l.tell(n, "ready")
+			}
+		})
+		return nil
+	}
+	return do, undo
+}
+
+func (s *server) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
--- a/internal/labcheck/check.go
+++ b/internal/labcheck/check.go
@@ -29,7 +29,7 @@
 // line is a line of the record. Times are milliseconds.
 type line struct {
 	MS                                                      float64
-	Kind, Who, What, Director, Ref, Class, Object, Up       string
+	Kind, Who, What, Director, Ref, Class, Object, Up, Site string
 	N                                                       int
 	Value, Work, Since, Allow, Weight, Ramp, Fall, Multiple float64
 	ColdFrom                                                float64 `json:"cold_from"`
--- a/internal/labcheck/figures.go
+++ b/internal/labcheck/figures.go
@@ -7,9 +7,9 @@
 )
 
 // FigureNames are the figures that a verdict has.
-var FigureNames = []string{"list_peak_ratio", "list_calls_per_start", "list_timeouts", "list_calls", "cold_budget_worst",
+var FigureNames = append([]string{"list_peak_ratio", "list_calls_per_start", "list_timeouts", "list_calls", "cold_budget_worst",
 	"origin_fetches_per_object", "origin_busy", "ready_ms_p99", "served_share", "served_share_all", "refused_share",
-	"attempts_per_request", "attempts_after", "conns_turned_away", "answer_ms_p50", "answer_ms_p99", "lag_ms_max", "requests"}
+	"attempts_per_request", "attempts_after", "conns_turned_away", "answer_ms_p50", "answer_ms_p99", "lag_ms_max", "requests"}, siteNames...)
 
 const (
 	firstSpan = 20_000.0 // of the load, that served_share counts
@@ -81,6 +81,8 @@
 		}
 	}
 	f["requests"] = requests
+	r.siteFigures(f)
+	f["bound_share"] = over(f["served_share_loss"], f["served_share_bound"])
 	f["attempts_after"] = r.attemptsAfter(asks)
 	f["origin_fetches_per_object"] = over(fetches, float64(len(objects)))
 	f["ready_ms_p99"] = float64(ready.ValueAtQuantile(99))
--- /dev/null
+++ b/internal/labcheck/sites.go
@@ -0,0 +1,367 @@
+package labcheck
+
+import (
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	siteBin   = 500.0   // for shares over time
+	peakBin   = 1_000.0 // over which a survivor's work is summed
+	before    = 3_000.0 // ahead of the first loss, for what was served then
+	lateAlarm = 6_000.0 // after a site is back, for which being called lost is no false alarm
+	notFound  = 10_000.0
+)
+
+// loss is one loss of a site, from what broke it until it was back.
+type loss struct {
+	site     string
+	how      string
+	share    float64 // of its servers
+	from, to float64
+}
+
+func (r *record) losses() (list []loss) {
+	for _, l := range r.lines {
+		if l.Kind != "site" {
+			continue
+		}
+		if l.What != "back" {
+			list = append(list, loss{l.Who, l.What, l.Value, l.MS, forever})
+			continue
+		}
+		for i := len(list) - 1; i >= 0; i-- {
+			if list[i].site == l.Who && list[i].to == forever {
+				list[i].to = l.MS
+				break
+			}
+		}
+	}
+	return list
+}
+
+// homeOf tells for each director which sites it has to do with: its branch, by what it was asked, and the branch's hub.
+func (r *record) homeOf() map[string][]string {
+	home := map[string][]string{}
+	hub := map[string]string{}
+	for _, l := range r.lines {
+		switch l.Kind {
+		case "home":
+			hub[l.Who] = l.What
+		case "ask":
+			if home[l.Director] == nil && l.Site != "" {
+				home[l.Director] = []string{l.Site, hub[l.Site]}
+			}
+		}
+	}
+	return home
+}
+
+// siteFigures reads how the loss of sites was borne.
+func (r *record) siteFigures(f map[string]float64) {
+	losses := r.losses()
+	r.alarms(f, losses)
+	if len(losses) == 0 {
+		return
+	}
+	end := r.lines[len(r.lines)-1].MS
+	for _, l := range r.lines {
+		if l.Kind == "load" && l.What == "end" {
+			end = l.MS
+		}
+	}
+	from, to := losses[0].from, 0.0
+	for _, x := range losses {
+		to = max(to, min(x.to, end))
+	}
+	r.sharesIn(f, from, to)
+	f["served_share_bound"] = r.bound(from, to)
+	f["survivor_peak"] = r.survivorPeak(losses)
+	f["detect_ms_p95"] = r.detected(losses)
+	f["return_ms_90"] = r.returned(from, to, end)
+}
+
+// sharesIn counts what was asked within a span by class: served, and refused.
+func (r *record) sharesIn(f map[string]float64, from, to float64) {
+	asks := map[string]line{}
+	var first, served float64
+	tries, refused := map[string]float64{}, map[string]float64{}
+	class := func(l line) string {
+		if l.Class == "repayment" {
+			return l.Class
+		}
+		return "other"
+	}
+	for _, l := range r.lines {
+		switch {
+		case l.Kind == "nowhere" && l.MS >= from && l.MS < to:
+			first++
+		case l.Kind == "ask" && l.MS >= from && l.MS < to:
+			asks[l.Ref] = l
+			tries[class(l)]++
+			if !l.Again {
+				first++
+			}
+		case l.Kind == "answer":
+			q, ok := asks[l.Ref]
+			switch {
+			case !ok:
+			case l.What == "served":
+				served++
+			case l.What == "refused":
+				refused[class(q)]++
+			}
+		}
+	}
+	f["served_share_loss"] = min(1, over(served, first))
+	f["repayments_refused_share"] = over(refused["repayment"], tries["repayment"])
+	f["others_refused_share"] = over(refused["other"], tries["other"])
+	f["repayments_refused_excess"] = f["repayments_refused_share"] - f["others_refused_share"]
+}
+
+// capacity is what a server can do at a time, in transfers; 0 while it is down.
+type capacity struct {
+	up, down float64
+	line     line
+}
+
+func (c capacity) at(ms float64) float64 {
+	if ms < c.up || ms >= c.down {
+		return 0
+	}
+	if c.line.Ramp <= 0 {
+		return c.line.Weight
+	}
+	return c.line.Weight * min(1, c.line.ColdFrom+(1-c.line.ColdFrom)*(ms-c.up)/c.line.Ramp)
+}
+
+// capacities are those of all servers by name; one that says nothing, or turns all away, can do nothing.
+func (r *record) capacities() map[string]capacity {
+	all := map[string]capacity{}
+	for _, l := range r.lines {
+		if l.Kind != "life" {
+			continue
+		}
+		if l.What == "up" {
+			all[l.Who] = capacity{l.MS, forever, l}
+		} else if c, ok := all[l.Who]; ok {
+			c.down = min(c.down, l.MS)
+			all[l.Who] = c
+		}
+	}
+	return all
+}
+
+// bound is the part of the first tries in a span that could be served by one who sees all, by true capacity: each
+// branch by its own caches, as those of others are a fault, and repayments of all branches by the origin too. It is a
+// linear program with one constraint that branches share, so that its optimum is found by serving reads first, which
+// need no more than the branch, and then repayments with what is left of both.
+func (r *record) bound(from, to float64) float64 {
+	work, origin := 0.0, math.Inf(1)
+	caches := r.capacities()
+	broken := r.losses()
+	type key struct {
+		branch string
+		bin    int
+	}
+	reads, writes := map[key]float64{}, map[key]float64{}
+	var branches []string
+	asked := 0.0
+	for _, l := range r.lines {
+		switch l.Kind {
+		case "capacity":
+			origin = l.Value
+		case "req":
+			work = max(work, l.Work)
+		case "ask", "nowhere":
+			if l.Again || l.MS < from || l.MS >= to {
+				continue
+			}
+			k := key{l.Site, int((l.MS - from) / siteBin)}
+			if l.Class == "repayment" {
+				writes[k]++
+			} else {
+				reads[k]++
+			}
+			if asked++; !slices.Contains(branches, l.Site) {
+				branches = append(branches, l.Site)
+			}
+		}
+	}
+	if work == 0 || asked == 0 {
+		return 0
+	}
+	served := 0.0
+	for bin := 0; float64(bin)*siteBin < to-from; bin++ {
+		at := from + (float64(bin)+0.5)*siteBin
+		left := origin * siteBin / 1000
+		for _, b := range branches {
+			can := 0.0
+			for _, c := range caches {
+				if c.line.Site == b {
+					can += c.at(at)
+				}
+			}
+			for _, x := range broken { // that of processes which ended is told by their lives
+				if x.site == b && at >= x.from && at < x.to && x.how != "site-kill" {
+					can *= 1 - x.share
+				}
+			}
+			room := can / work * siteBin / 1000
+			k := key{b, bin}
+			r := min(reads[k], room)
+			w := min(writes[k], room-r, left)
+			left -= w
+			served += r + w
+		}
+	}
+	return served / asked
+}
+
+// survivorPeak is the busiest second of any server of a site that is not lost just then, over its capacity.
+func (r *record) survivorPeak(losses []loss) (peak float64) {
+	caches := r.capacities()
+	type key struct {
+		who string
+		bin int
+	}
+	got := map[key]float64{}
+	during := func(x loss, ms float64) bool { return ms >= x.from && ms < x.to+lateAlarm }
+	for _, l := range r.lines {
+		if l.Kind != "req" && l.Kind != "source" {
+			continue
+		}
+		any := slices.ContainsFunc(losses, func(x loss) bool { return during(x, l.MS) })
+		own := slices.ContainsFunc(losses, func(x loss) bool { return during(x, l.MS) && x.site == caches[l.Who].line.Site })
+		if any && !own {
+			got[key{l.Who, int(l.MS / peakBin)}] += l.Work
+		}
+	}
+	for k, work := range got {
+		if can := caches[k.who].at((float64(k.bin) + 0.5) * peakBin); can > 0 {
+			peak = max(peak, work/(can*peakBin/1000))
+		}
+	}
+	return peak
+}
+
+// gone tells that a director calls a site lost.
+func gone(what string) bool { return what == "lost" || what == "cut off" || what == "relapsed" }
+
+// detected is the time after which a director that has to do with a site that is lost whole knows it, for nineteen in
+// twenty. One that never does counts as notFound, if it asked anybody there meanwhile.
+func (r *record) detected(losses []loss) float64 {
+	home, times := r.homeOf(), hdrhistogram.New(1, 120_000, 3)
+	for _, x := range losses {
+		if x.share < 1 || x.how == "site-busy" { // who turns all away is there, and says so
+			continue
+		}
+		for director, sites := range home {
+			if !slices.Contains(sites, x.site) {
+				continue
+			}
+			at, asked, known := notFound, false, false
+			for _, l := range r.lines {
+				switch {
+				case l.MS > x.to:
+				case l.Kind == "state" && l.Who == director && l.Site == x.site:
+					if l.MS < x.from {
+						known = gone(l.What) // since a loss just before
+					} else if gone(l.What) {
+						at = min(at, l.MS-x.from)
+					}
+				case l.Kind == "process" && l.Who == director:
+					known = false
+				case l.MS >= x.from && l.Kind == "answer" && l.Director == director:
+					asked = asked || (l.What != "unreached" && l.What != "lost")
+				}
+			}
+			if known {
+				at = 0
+			}
+			if asked {
+				_ = times.RecordValue(int64(max(1, at)))
+			}
+		}
+	}
+	return float64(times.ValueAtQuantile(95))
+}
+
+// alarms counts sites that were called lost and were not, and how often a director moves for each loss.
+func (r *record) alarms(f map[string]float64, losses []loss) {
+	for _, l := range r.lines { // a site that a director can't reach is as good as lost to it
+		if l.Kind == "link" && l.Who == "caches" && l.What != "well" && l.What != "delay" && l.What != "drip" {
+			x := loss{"", l.What, 1, l.MS, forever}
+			for _, w := range r.lines {
+				if w.Kind == "link" && w.Who == l.Who && w.What == "well" && w.MS > l.MS {
+					x.to = w.MS
+					break
+				}
+			}
+			losses = append(losses, x)
+		}
+	}
+	moves, events := 0.0, 0.0
+	moved := map[string]bool{}
+	for _, l := range r.lines {
+		if l.Kind != "state" {
+			continue
+		}
+		known := slices.ContainsFunc(losses, func(x loss) bool {
+			return (x.site == l.Site || x.site == "") && l.MS >= x.from && l.MS <= x.to+lateAlarm
+		})
+		if gone(l.What) && !known {
+			f["false_alarms"]++
+		}
+		if gone(l.What) || l.What == "returning" {
+			moves++
+		}
+		for i, x := range losses {
+			key := l.Who + " " + l.Site + " " + string(rune('a'+i))
+			in := (x.site == l.Site || x.site == "") && l.MS >= x.from && l.MS <= x.to+lateAlarm
+			if in && !moved[key] && gone(l.What) {
+				moved[key] = true
+				events++
+			}
+		}
+	}
+	f["moves_per_event"] = over(moves, events)
+}
+
+// returned is the time from the last return until nine tenths of the part that was served before the loss is served
+// again, in two spans one after the other.
+func (r *record) returned(from, to, end float64) float64 {
+	share := func(a, b float64) float64 {
+		asks := map[string]bool{}
+		var first, served float64
+		for _, l := range r.lines {
+			switch {
+			case (l.Kind == "ask" || l.Kind == "nowhere") && l.MS >= a && l.MS < b:
+				asks[l.Ref] = l.Kind == "ask"
+				if !l.Again {
+					first++
+				}
+			case l.Kind == "answer" && l.What == "served" && asks[l.Ref]:
+				served++
+			}
+		}
+		if first == 0 {
+			return 1
+		}
+		return min(1, served/first)
+	}
+	want := 0.9 * share(max(0, from-before), from)
+	for at := to; at+2*siteBin <= end; at += siteBin {
+		if share(at, at+siteBin) >= want && share(at+siteBin, at+2*siteBin) >= want {
+			return at - to
+		}
+	}
+	return max(0, end-to)
+}
+
+// siteNames are the figures of this file.
+var siteNames = strings.Fields(`served_share_loss served_share_bound survivor_peak detect_ms_p95 false_alarms
+	moves_per_event return_ms_90 repayments_refused_share others_refused_share repayments_refused_excess bound_share`)
--- /dev/null
+++ b/internal/labcheck/sites_test.go
@@ -0,0 +1,118 @@
+package labcheck
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+)
+
+// story builds the record of two branches with a cache each (10 transfers of 50 ms, so 200 requests a second), a hub and
+// one director a branch. Branch b1 is lost from 2 s to 6 s; each branch is asked for two things every 100 ms.
+func story(served func(ms float64, branch string) string, more ...string) string {
+	lines := []string{
+		`{"ms":0,"kind":"capacity","who":"s-origin","value":100}`,
+		`{"ms":0,"kind":"home","who":"b1","what":"h1"}`, `{"ms":0,"kind":"home","who":"b2","what":"h1"}`,
+		`{"ms":0,"kind":"life","who":"c1","what":"up","site":"b1","weight":10}`,
+		`{"ms":0,"kind":"life","who":"c2","what":"up","site":"b2","weight":10}`,
+		`{"ms":0,"kind":"life","who":"p1","what":"up","site":"h1","weight":1}`,
+		`{"ms":0,"kind":"load","what":"begin"}`}
+	n := 0
+	for ms := 0.0; ms < 10_000; ms += 100 {
+		switch ms {
+		case 2000:
+			lines = append(lines, `{"ms":2000,"kind":"site","who":"b1","what":"site-kill","value":1}`,
+				`{"ms":2000,"kind":"life","who":"c1","what":"down","site":"b1"}`)
+		case 6000:
+			lines = append(lines, `{"ms":6000,"kind":"life","who":"c3","what":"up","site":"b1","weight":10}`,
+				`{"ms":6000,"kind":"site","who":"b1","what":"back"}`)
+		}
+		for i, branch := range []string{"b1", "b2"} {
+			for _, class := range []string{"media", "repayment"} {
+				n++
+				what := served(ms, branch)
+				lines = append(lines,
+					fmt.Sprintf(`{"ms":%v,"kind":"ask","ref":"r%d","director":"d%d","site":%q,"class":%q,"allow":2000}`, ms, n, i, branch, class),
+					fmt.Sprintf(`{"ms":%v,"kind":"req","ref":"r%d","who":"c%d","director":"d%d","class":%q,"work":0.05}`, ms+1, n, i+1, i, class),
+					fmt.Sprintf(`{"ms":%v,"kind":"answer","ref":"r%d","director":"d%d","what":%q,"class":%q}`, ms+20, n, i, what, class))
+			}
+		}
+	}
+	lines = append(lines, more...)
+	lines = append(lines, `{"ms":10000,"kind":"load","what":"end"}`)
+	return strings.Join(lines, "\n")
+}
+
+func figuresOf(t *testing.T, text string) map[string]float64 {
+	t.Helper()
+	v, err := Check(strings.NewReader(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v.Figures
+}
+
+func want(t *testing.T, f map[string]float64, figures map[string]float64) {
+	t.Helper()
+	for name, x := range figures {
+		if math.Abs(f[name]-x) > 1e-6 {
+			t.Errorf("%s: %v, want %v", name, f[name], x)
+		}
+	}
+}
+
+func TestFiguresOfALostSite(t *testing.T) {
+	lost := func(ms float64, branch string) string {
+		if branch == "b1" && ms >= 2000 && ms < 6700 {
+			return "refused"
+		}
+		return "served"
+	}
+	f := figuresOf(t, story(lost,
+		`{"ms":2300,"kind":"state","who":"d0","site":"b1","what":"lost"}`,
+		`{"ms":6100,"kind":"state","who":"d0","site":"b1","what":"returning"}`,
+		`{"ms":7500,"kind":"state","who":"d1","site":"b2","what":"cut off"}`))
+	want(t, f, map[string]float64{"served_share_loss": 0.5, "served_share_bound": 0.5, "bound_share": 1, "false_alarms": 1,
+		"repayments_refused_share": 0.5, "others_refused_share": 0.5, "return_ms_90": 1000, "moves_per_event": 3})
+	if f["detect_ms_p95"] < 299 || f["detect_ms_p95"] > 301 {
+		t.Errorf("detected after %v", f["detect_ms_p95"])
+	}
+	// Nobody notices, and the survivor's cache gets far more than it can do within a second.
+	crowd := make([]string, 0, 300)
+	for i := range 300 {
+		crowd = append(crowd, fmt.Sprintf(`{"ms":%v,"kind":"source","who":"p1","director":"d1","ref":"x","work":0.05}`, 3000+i))
+	}
+	f = figuresOf(t, story(lost, crowd...))
+	if f["survivor_peak"] < 14.9 || f["survivor_peak"] > 15.1 || f["detect_ms_p95"] < notFound*0.99 {
+		t.Errorf("peak %v, detected after %v", f["survivor_peak"], f["detect_ms_p95"])
+	}
+	// A loss without an end counts to the end, and what is never served again never returns.
+	never := strings.ReplaceAll(story(func(ms float64, branch string) string {
+		if ms >= 2000 {
+			return "refused"
+		}
+		return "served"
+	}), `"kind":"site","who":"b1","what":"back"`, `"kind":"none"`)
+	want(t, figuresOf(t, never), map[string]float64{"served_share_loss": 0, "bound_share": 0, "repayments_refused_excess": 0})
+}
+
+// The origin bounds what all branches' repayments can get, and a cold cache bears less.
+func TestBoundKnowsTheOriginAndTheCold(t *testing.T) {
+	all := func(float64, string) string { return "served" }
+	slow := strings.Replace(story(all), `"value":100}`, `"value":5}`, 1) // of 20 repayments a second, 10 from the branch that is there
+	want(t, figuresOf(t, slow), map[string]float64{"served_share_bound": (0.5 + 0.25) / 2})
+	cold := strings.Replace(story(all), `"what":"up","site":"b2","weight":10`, `"what":"up","site":"b2","weight":1,"cold_from":0.25,"ramp":1000000`, 1)
+	if f := figuresOf(t, cold); f["served_share_bound"] < 0.12 || f["served_share_bound"] > 0.14 { // 5 of 20 a second, and nothing from the other
+		t.Errorf("bound %v", f["served_share_bound"])
+	}
+}
+
+// Without a loss nothing is said of one; a director that can't reach its caches may call them lost.
+func TestNoLossNoFigures(t *testing.T) {
+	plain := strings.Join([]string{`{"ms":0,"kind":"load","what":"begin"}`,
+		`{"ms":100,"kind":"link","who":"caches","what":"one-way"}`,
+		`{"ms":200,"kind":"state","who":"d0","site":"b1","what":"cut off"}`,
+		`{"ms":900,"kind":"link","who":"caches","what":"well"}`,
+		`{"ms":20000,"kind":"state","who":"d0","site":"b1","what":"lost"}`}, "\n")
+	want(t, figuresOf(t, plain), map[string]float64{"false_alarms": 1, "served_share_loss": 0, "detect_ms_p95": 0})
+}
