Share a lost hub's fills by room, look at silent branches only, hear whether it is us

Change: the plan prices a hub's use, so that hubs share what a lost one leaves by the room that they have, leaving a hub that is there costs more, and branches share what is refused. More than half of a site's servers must have failed. A hub that comes back as it was has its objects back at once; only one that starts anew gets them by and by. Where a branch is lost or we are cut off, its caches take one look each and the rest is refused at once; the first that answers has the others looked at, and a silent list service counts as a sign that it is us. A hit that is out for twice its time is evidence, so a silent branch is noticed within a second.

--- a/cmd/shaleyard/main.go
+++ b/cmd/shaleyard/main.go
@@ -167,7 +167,9 @@
 	if err != nil {
 		p.log.Warn("no plan for lost sites", zap.Error(err))
 	} else {
-		p.director.Follow(advice.Advise, wishes.MovePerS)
+		p.director.Follow(advice.Advise, wishes.MovePerS, func() bool {
+			return p.feed.Reached() && p.clock.now()-p.feed.Heard() > p.limits.FeedSilence
+		})
 	}
 	if l.FeedStart > 0 {
 		p.director.Closed = p.closed
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -86,7 +86,7 @@
 		return nil, err
 	}
 	if a, err := siteplan.NewAdviser(&s, siteplan.Wishes{}, nil); err == nil {
-		r.Follow(a.Advise, 0) // as the real director does without an operators' file
+		r.Follow(a.Advise, 0, nil) // as the real director does without an operators' file
 	}
 	return r, nil
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -68,6 +68,7 @@
 	behind  int  // streams in a row whose numbers were behind ours
 	replay  bool // after a new start of the numbers, until the service's last event is reached
 	reached bool
+	heard   rules.Time // the last line that could be used
 	callAt  rules.Time // when the next call is made
 	stream  *stream
 	silence director.Entry
@@ -147,6 +148,9 @@
 // lost it since goes on by what it knows.
 func (f *Follower) Reached() bool { return f.reached }
 
+// Heard is when the feed's last line came that could be used; 0: none has.
+func (f *Follower) Heard() rules.Time { return f.heard }
+
 // retry gives the present stream up and calls again in its time.
 func (f *Follower) retry(s *stream, e pacing.End) {
 	if f.stream != s {
@@ -294,7 +298,7 @@
 			continue
 		}
 		s.f.listen(s)
-		s.spoke = true
+		s.spoke, s.f.heard = true, s.f.now()
 		s.f.calls.Good(s.f.now())
 	}
 	return nil
--- /dev/null
+++ b/internal/siteplan/advice_test.go
@@ -0,0 +1,79 @@
+package siteplan
+
+import (
+	"math"
+	"strings"
+	"testing"
+
+	"shaleyard/rules"
+)
+
+// settings are those of a director of branch edge-1, with three hubs.
+func settings() *rules.Settings {
+	return &rules.Settings{Zones: []string{"west", "middle", "east", "edge-1", "edge-2"}, Zone: 3,
+		Services: []rules.Class{{Name: "media", Worth: 2, Effect: "read_like"}, {Name: "pages", Worth: 1, Effect: "read_like"},
+			{Name: "pay", Worth: 3, Effect: "non_idempotent"}},
+		Family: rules.Tiers{MasterKind: 2, SecondTierKind: 1, SeatsByZone: []int{0, 0, 0, 4, 4}, HubByZone: []int{0, 1, 2, 0, 1},
+			PassOn: []bool{false, false, true}}}
+}
+
+func TestAdviceIsThePlanForOurBranch(t *testing.T) {
+	a, err := NewAdviser(settings(), Wishes{}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	carries := []float64{10, 10, 10, 40, 40}
+	got := a.Advise([]int{0}, carries)
+	// The middle hub has edge-2 to serve, the eastern one nobody: it takes most of what the western one leaves.
+	if h := got.Hubs; h[0] != 0 || h[3] != 0 || h[2] < h[1]+0.3 || math.Abs(h[1]+h[2]-1) > 1e-9 {
+		t.Errorf("shares %v", h)
+	}
+	if got.Fills != nil {
+		t.Errorf("fills are refused by %v, though nobody asked for that", got.Fills)
+	}
+	if h := a.Advise([]int{0, 2}, carries).Hubs; h[1] != 1 {
+		t.Errorf("only the middle is left: %v", h)
+	}
+	if h := a.Advise([]int{0, 1, 2}, carries).Hubs; h[0]+h[1]+h[2] != 0 {
+		t.Errorf("no hub is left: %v", h)
+	}
+}
+
+func TestFollowedPlansRefuseWhatIsWorthLeast(t *testing.T) {
+	a, err := NewAdviser(settings(), Wishes{Follow: true}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := a.Advise([]int{0, 2}, []float64{10, 10, 10, 60, 60}).Fills // 10 for 14.4 that both branches' caches lack
+	if len(f) != 3 || f[0] != 1 || f[1] > 0.7 || f[1] <= 0 || f[2] != 1 {
+		t.Errorf("fills %v: pages go first, media not yet, repayments last", f)
+	}
+	if f := a.Advise([]int{0}, []float64{10, 10, 10, 10, 10}).Fills; f[0] != 1 || f[1] != 1 {
+		t.Errorf("there is room for all: %v", f)
+	}
+}
+
+// What can be known at the start is an error then; what hangs on the fleet is told once for each state of it, and the
+// director goes on without advice.
+func TestAPlanThatCantBeMadeIsTold(t *testing.T) {
+	if _, err := NewAdviser(settings(), Wishes{Forbids: []Forbid{{"moon", "east"}}}, nil); err == nil || !strings.HasPrefix(err.Error(), "plan.forbid[0].lost") {
+		t.Errorf("error %v", err)
+	}
+	told := 0
+	a, err := NewAdviser(settings(), Wishes{Pins: []Pin{{"west", "edge-1", "east", 1}}}, func(error) { told++ })
+	if err != nil {
+		t.Fatal(err)
+	}
+	small, large := []float64{10, 10, 1, 100, 100}, []float64{10, 10, 30, 100, 100}
+	for range 3 {
+		if got := a.Advise([]int{0}, small); got.Hubs != nil {
+			t.Errorf("advice %v by a pin that can't hold", got)
+		}
+	}
+	if told != 1 {
+		t.Errorf("told %d times", told)
+	}
+	if got := a.Advise([]int{0}, large); len(got.Hubs) != 5 || got.Hubs[2] != 1 || told != 1 {
+		t.Errorf("it can hold now: %v", got)
+	}
+}
--- a/internal/siteplan/plan.go
+++ b/internal/siteplan/plan.go
@@ -110,10 +110,23 @@
 }
 
 const (
-	crowdParts = 10    // in which a hub's room is priced
-	crowdPrice = 0.002 // of the worth of a mean unit, more for each: well under a refusal and a step round the ring
+	crowdParts = 10   // in which a hub's room is priced
+	crowdPrice = 0.02 // of the worth of a unit, more for each: a hub two or three parts fuller is worth a step round
+	leavePrice = 0.5  // of it, for fills that leave a hub that is there: only what it has no room for
 )
 
+// price is what a unit costs that a branch takes from a hub: the way round the ring, and that of leaving its own hub.
+func (p *Planner) price(branch, hub int, alive []float64) float64 {
+	home, price := p.t.Sites[branch].Home, 0.0
+	if home < 0 || home == hub {
+		return 0
+	}
+	if alive[home] > 0 && p.t.Sites[home].Carries > 0 {
+		price = leavePrice
+	}
+	return p.leastDensity()*price + p.meanDensity()*p.t.FarPrice*float64(p.t.steps(home, hub))
+}
+
 // flow sends the fills of all branches to hubs, at a load (times the usual one), so that the worth that has to be
 // refused is least, and fills go no further than they must. The hubs' links, the branches' links in and what the
 // origin can give behind the parents bound it.
@@ -142,12 +155,15 @@
 			hubs = append(hubs, h)
 		}
 	}
-	type stream struct{ branch, class, refusal int }
+	type stream struct {
+		branch, class int
+		refusals      [crowdParts]int
+	}
 	var streams []stream
 	ways := map[[2]int]int{}
 	far := t.FarPrice * p.meanDensity()
-	crowd := p.crowdPrice * p.meanDensity()
-	pinEarns := far*float64(len(t.Sites)) + crowd*crowdParts // worth of a unit going where it is pinned
+	crowd := p.crowdPrice * p.leastDensity()
+	pinEarns := leavePrice*p.leastDensity() + far*float64(len(t.Sites)) + crowd*crowdParts // worth of a unit going where it is pinned
 	type fixed struct {
 		branch, hub int
 		work        float64
@@ -188,7 +204,11 @@
 			}
 			k := n.node()
 			n.arc(source, k, work, 0)
-			streams = append(streams, stream{b, c, n.arc(k, sink, work, p.refusalCost(c))})
+			x := stream{branch: b, class: c}
+			for i := range x.refusals { // a little dearer the more of it is refused, so that branches share what is
+				x.refusals[i] = n.arc(k, sink, work/crowdParts, p.refusalCost(c)+crowd*float64(i)/crowdParts)
+			}
+			streams = append(streams, x)
 			n.arc(k, link, work, 0)
 		}
 		if direct {
@@ -198,16 +218,12 @@
 			if hubIn[h] == 0 {
 				hubIn[h] = n.node()
 			}
-			steps := 0
-			if s.Home >= 0 {
-				steps = t.steps(s.Home, h)
-			}
 			switch {
 			case h != s.Home && p.forbidden(h, alive):
 			case left < whole, slices.ContainsFunc(pinned, func(x fixed) bool { return x.branch == b && x.hub == h }):
 				// All of it is pinned, or what goes there is.
 			default:
-				ways[[2]int{b, h}] = n.arc(out, hubIn[h], max(0, left)*asked, far*float64(steps))
+				ways[[2]int{b, h}] = n.arc(out, hubIn[h], max(0, left)*asked, p.price(b, h, alive))
 			}
 		}
 		for _, x := range pinned {
@@ -244,7 +260,10 @@
 	}
 	for _, s := range streams {
 		work := t.fills(s.branch, s.class, alive[s.branch] == 0) * load
-		out := n.sent(s.refusal)
+		out := 0.0
+		for _, arc := range s.refusals {
+			out += n.sent(arc)
+		}
 		if out > whole*10 {
 			f.refused = true
 		}
@@ -280,6 +299,16 @@
 	})
 }
 
+// leastDensity is the worth of a second of sending of the class that is worth least: what only settles where fills go
+// must cost less, or it would be cheaper to refuse them.
+func (p *Planner) leastDensity() float64 {
+	least := math.Inf(1)
+	for _, c := range p.t.Classes {
+		least = min(least, c.density())
+	}
+	return least
+}
+
 // meanDensity is the worth of a mean second of sending.
 func (p *Planner) meanDensity() float64 {
 	sum := 0.0
--- a/internal/siteplan/topology.go
+++ b/internal/siteplan/topology.go
@@ -67,10 +67,9 @@
 	usualHits   = 0.7
 	parentHits  = 0.6
 	usualWork   = 100 * time.Millisecond
-	originRoom  = 1.5  // times what it is asked for at the usual load that an origin of unknown size can give
-	nearPrice   = 0.04 // least price of a step round the ring: well over that of a crowded hub, or all hubs would share
-	coldUse     = 0.5  // part of a cold budget that is used: the router's own margin for chance
-	neverRefuse = 16   // times the usual load beyond which nobody asks when refusing begins
+	originRoom  = 1.5 // times what it is asked for at the usual load that an origin of unknown size can give
+	coldUse     = 0.5 // part of a cold budget that is used: the router's own margin for chance
+	neverRefuse = 16  // times the usual load beyond which nobody asks when refusing begins
 )
 
 // From takes the topology from a director's settings and the list of servers that it knows. Draining and gone
@@ -153,7 +152,7 @@
 			}
 		}
 	}
-	if t.FarPrice = max(t.FarPrice, nearPrice); t.Origin == 0 {
+	if t.Origin == 0 {
 		t.Origin = originRoom * t.passedOn()
 		for b, s := range t.Sites {
 			for c := range t.Classes {
--- a/internal/siteview/view.go
+++ b/internal/siteview/view.go
@@ -40,9 +40,9 @@
 // Figures of the view.
 const (
 	enough     = 2.0                    // servers that have failed, with none that answered between
-	half       = 0.5                    // and at least this part of those that are ready
+	half       = 0.5                    // and more than this part of those that are ready
 	silentOnce = 0.5                    // of a server, that one silence counts for: an answer may be lost
-	silentMore = 0.25                   // and each further one
+	silentMore = 0.125                  // and each further one
 	failAge    = 5 * time.Second        // after which a failure counts no more
 	leastStay  = time.Second            // in a state, before a site may leave it for a better one
 	backRate   = 0.25                   // part of a hub's objects that go back to it in a second
@@ -73,6 +73,8 @@
 type View struct {
 	// Plan, where set, is followed; else other hubs share alike.
 	Plan Plan
+	// Deaf, where set, tells that the list service is not heard either.
+	Deaf func() bool
 	// Rate, where set, is the part of a site's traffic that moves in a second at most, there and back. Else what a hub
 	// leaves is taken up as it comes, with the origin's shield for a guard, and goes back at backRate.
 	Rate float64
@@ -118,6 +120,7 @@
 	goods   int  // answers since it began to return
 	wait    time.Duration
 	seen    bool    // it has had members
+	fresh   bool    // some of what returns has started anew: it is cold and empty, and gets its load by and by
 	carries float64 // weight of all of its servers when most of them were there
 }
 
@@ -148,6 +151,7 @@
 		return m
 	}
 	s := &v.sites[zone]
+	anew := up && started != 0 && (m == nil || started != m.started)
 	switch {
 	case m == nil:
 		m = &Member{v: v, zone: zone}
@@ -163,10 +167,11 @@
 		}
 	}
 	s.carries = max(s.carries, sum)
-	if up && started != 0 && s.state.gone() && now >= s.since+s.wait {
+	if anew && s.state.gone() && now >= s.since+s.wait {
 		// It counts as a sign of life of a site that is lost, but not as an answer.
 		v.change(now, zone, Returning, "the list has a new server")
 	}
+	s.fresh = s.fresh || (anew && (s.state.gone() || s.state == Returning))
 	s.seen = s.seen || up
 	return m
 }
@@ -227,6 +232,20 @@
 	m.Silent(now, sent)
 }
 
+// Alone tells that the server fails while another of its site does not: to take it out leaves someone in its place. A
+// site of which all fail is taken out as a whole, by its state.
+func (m *Member) Alone(now Time) bool {
+	if m == nil {
+		return false
+	}
+	for _, o := range m.v.sites[m.zone].members {
+		if failed := max(o.refused, o.silent); o != m && o.up && (failed == 0 || now-failed > failAge) {
+			return true
+		}
+	}
+	return false
+}
+
 // Silent: an attempt that was sent at a time is over and got nothing out of the server, though an answer was due. Where
 // the server has spoken since, it was the answer that was lost.
 func (m *Member) Silent(now, sent Time) {
@@ -312,6 +331,9 @@
 			sites, members = sites+1, members+n
 		}
 	}
+	if v.Deaf != nil && v.Deaf() {
+		sites++
+	}
 	if sites >= aloneSites {
 		v.alone, v.aloneFrom = true, v.asked
 		v.Counters.Alone++
@@ -323,7 +345,7 @@
 	s := &v.sites[zone]
 	sum, silent, n := s.failing(now)
 	ready := s.ready()
-	need := min(max(enough, half*float64(ready)), float64(max(ready, 1)))
+	need := min(max(enough, half*float64(ready)+0.25), float64(max(ready, 1)))
 	lost, how := false, ""
 	switch {
 	case ready == 0:
@@ -346,7 +368,7 @@
 		}
 		s.wait = max(s.wait, waitFirst)
 		v.change(now, zone, worse, how)
-	case s.state == Returning && !lost && n == 0 && s.goods >= wellAfter && v.ramp(now, s) >= 1:
+	case s.state == Returning && !lost && n == 0 && s.goods >= wellAfter && (!s.fresh || v.ramp(now, s) >= 1):
 		v.Counters.Recoveries++
 		v.change(now, zone, Well, fmt.Sprintf("%d answers in %v", s.goods, now-s.since))
 	case s.state.gone() && !lost && s.good > s.since && now >= s.since+s.wait:
@@ -370,6 +392,7 @@
 		v.Counters.Returns++
 	}
 	s.state, s.since, s.goods = to, now, 0
+	s.fresh = s.fresh && (to == Returning || to.gone())
 }
 
 func (v *View) note(zone int, from, to State, evidence string) {
@@ -463,8 +486,10 @@
 		return 1
 	case s.state.gone():
 		return 0
-	default:
+	case s.fresh:
 		return min(v.ramp(now, s), max(s.present(now), startsAt))
+	default: // it holds what it held: to spread its objects now would have others fetch them once more
+		return max(s.present(now), startsAt)
 	}
 }
 
@@ -493,8 +518,9 @@
 	return zones
 }
 
-// Shut tells that nothing can be done for the clients of our branch, as its caches are lost; and it is not us.
-func (v *View) Shut() bool { return !v.alone && v.sites[v.c.Own].state.gone() }
+// Shut tells that nothing can be done for the clients of our branch, as its caches are lost, or we are cut off. Looks
+// go on, at all times: they tell when it is over.
+func (v *View) Shut() bool { return v.alone || v.sites[v.c.Own].state.gone() }
 
 // Returning tells that our branch is coming back, so that what it can do goes to what is wanted most.
 func (v *View) Returning() bool { return v.sites[v.c.Own].state == Returning }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -751,7 +751,7 @@
 	case o.Note == NoteSourceUnreached:
 		// Quickly: it is down. Late: perhaps crowded, and to eject it would crowd the others in a cascade.
 		src.seen.Unreached(d.now, a.sent, o.Waited < quickly)
-		if n := src.missed.Add(d.now); src.ejected || o.Waited < quickly || (n >= 3 && d.spare(src)) {
+		if n := src.missed.Add(d.now); src.ejected || o.Waited < quickly || (n >= 3 && src.seen.Alone(d.now)) {
 			d.eject(src, "source not reached")
 		}
 	case untold, o.Note == NoteSourceRefused, o.Note == NoteSourceLacks, o.Note == NoteOriginFailed,
@@ -803,6 +803,9 @@
 func (d *Router) readmit(s *server) {
 	d.log("readmit %x after %v", uint64(s.Host), d.now-s.ejectedAt)
 	s.ejected, s.missed, s.backoff = false, pacing.Streak{}, 0
+	for _, o := range d.like(s) { // what was lost together often comes back so
+		o.until = min(o.until, d.now)
+	}
 }
 
 // tick takes attempts that are out for long as samples of pace, and sweeps.
@@ -810,9 +813,14 @@
 	d.do(SetTimer{Token: tickTimer, At: d.now + tickEvery})
 	d.sites.Tick(d.now, func(c siteview.Change) { d.do(Log{Text: c.String()}) })
 	for _, s := range d.caches {
+		if d.sites.Shut() && !s.ejected {
+			d.eject(s, "site lost")
+		}
 		for _, a := range s.to.out {
 			if d.now-a.sent > max(a.doubled, 2*a.expect) {
-				d.timed(a)
+				if d.timed(a); !a.fill {
+					s.seen.Silent(d.now, a.sent)
+				}
 			}
 			if a.fill && a.source.spoke > a.sent && s.heard > a.sent && !d.slow(s) && d.now-a.sent > a.aim {
 				d.shield.Answered(d.now, a.sent, true) // neither hangs, so the origin does
@@ -847,17 +855,6 @@
 	return slices.DeleteFunc(slices.Clone(d.upper), func(o *server) bool { return o.role != s.role })
 }
 
-// spare tells that others of the group can take over: never eject so many that the rest drown.
-func (d *Router) spare(s *server) bool {
-	spare := 0
-	for _, o := range d.like(s) {
-		if spare++; o.ejected {
-			spare -= 2
-		}
-	}
-	return s.ejected || spare > 0
-}
-
 // use counts a use of the object and returns what the table says of it.
 func (d *Router) use(k objectPart) *entry {
 	e := cmp.Or(d.cur[k], d.prev[k], &entry{})
--- a/rules/settings.go
+++ b/rules/settings.go
@@ -58,8 +58,10 @@
 }
 
 // Follow sets the plan that is followed when whole sites are lost, and the part of a site's traffic that moves in a
-// second at most; 0: as it comes. It comes before the first event.
-func (d *Router) Follow(plan siteview.Plan, rate float64) { d.sites.Plan, d.sites.Rate = plan, rate }
+// second at most; 0: as it comes. Deaf tells that the list service, too, is not heard. It comes before the first event.
+func (d *Router) Follow(plan siteview.Plan, rate float64, deaf func() bool) {
+	d.sites.Plan, d.sites.Rate, d.sites.Deaf = plan, rate, deaf
+}
 
 // Sites counts what was seen of whole sites.
 func (d *Router) Sites() siteview.Counters { return d.sites.Counters }
