Share a lost hub by what the others carry, and look at it before all else

Seen beside it: a look at a lost hub waited for an object that ranked it first.

Change: what a hub takes over is priced by its part of what the others carry, so that they share it so while they have room; branches share refusals by the same step. A lost hub's look is the next request. A slow hit counts once as silence, not each time its wait has doubled. The laboratory's directors run at a lower priority than itself.

--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -48,6 +49,9 @@
 	return p.front
 }
 
+// directorNice is the priority of directors, below that of the laboratory.
+const directorNice = 5
+
 // starter starts processes on one thread, which lives as long as the lab: a child is told to die with its
 // parent thread, so that none is left behind also when the lab itself is killed.
 type starter struct{ jobs chan func() }
@@ -67,7 +71,15 @@
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	err := make(chan error)
 	s.jobs <- func() { err <- cmd.Start() }
-	return <-err
+	if err := <-err; err != nil {
+		return err
+	}
+	// The laboratory stands for the network and everybody else's machines: it must be on time when hundreds of directors
+	// start at once on a few cores. A process may always lower its own children's priority.
+	if err := syscall.Setpriority(syscall.PRIO_PROCESS, cmd.Process.Pid, directorNice); err != nil && !errors.Is(err, syscall.ESRCH) {
+		return fmt.Errorf("priority of a director: %w", err)
+	}
+	return nil
 }
 
 // start runs the program. Its list is the present one, or for last the one it was started with before.
--- a/internal/siteplan/plan.go
+++ b/internal/siteplan/plan.go
@@ -14,7 +14,7 @@
 	w     Wishes
 	known map[string]*Plan
 
-	crowdPrice float64 // of a hub's use, for each part of its room that is in use already
+	crowdPrice float64 // of what a hub takes over, for each part that it has of it already
 }
 
 // NewPlanner checks the wishes against the topology. The error is a *WishError that names the key.
@@ -110,8 +110,8 @@
 }
 
 const (
-	crowdParts = 10   // in which a hub's room is priced
-	crowdPrice = 0.02 // of the worth of a unit, more for each: a hub two or three parts fuller is worth a step round
+	crowdParts = 10   // in which what a hub takes over is priced, half of them for its part by what it carries
+	crowdPrice = 0.02 // of the worth of a unit, more for each: a hub with two or three parts more is worth a step round
 	leavePrice = 0.5  // of it, for fills that leave a hub that is there: only what it has no room for
 )
 
@@ -160,7 +160,7 @@
 		refusals      [crowdParts]int
 	}
 	var streams []stream
-	ways := map[[2]int]int{}
+	ways := map[[2]int][]int{}
 	far := t.FarPrice * p.meanDensity()
 	crowd := p.crowdPrice * p.leastDensity()
 	pinEarns := leavePrice*p.leastDensity() + far*float64(len(t.Sites)) + crowd*crowdParts // worth of a unit going where it is pinned
@@ -206,11 +206,17 @@
 			n.arc(source, k, work, 0)
 			x := stream{branch: b, class: c}
 			for i := range x.refusals { // a little dearer the more of it is refused, so that branches share what is
-				x.refusals[i] = n.arc(k, sink, work/crowdParts, p.refusalCost(c)+crowd*float64(i)/crowdParts)
+				x.refusals[i] = n.arc(k, sink, work/crowdParts, p.refusalCost(c)+crowd*float64(i))
 			}
 			streams = append(streams, x)
 			n.arc(k, link, work, 0)
 		}
+		others := 0.0 // what the hubs carry that may take over
+		for _, h := range hubs {
+			if h != s.Home && !p.forbidden(h, alive) {
+				others += t.Sites[h].Carries * alive[h]
+			}
+		}
 		if direct {
 			n.arc(out, originIn, math.Inf(1), far*float64(len(hubs)))
 		}
@@ -223,22 +229,31 @@
 			case left < whole, slices.ContainsFunc(pinned, func(x fixed) bool { return x.branch == b && x.hub == h }):
 				// All of it is pinned, or what goes there is.
 			default:
-				ways[[2]int{b, h}] = n.arc(out, hubIn[h], max(0, left)*asked, p.price(b, h, alive))
+				// What goes elsewhere is shared by what the others carry: the more of its part a hub has, the dearer the rest.
+				part, parts, most := max(0, left)*asked, 1, max(0, left)*asked
+				if h != s.Home && others > 0 {
+					part, parts = most*t.Sites[h].Carries*alive[h]/others/(crowdParts/2), crowdParts
+				}
+				for i := range parts {
+					if i == parts-1 {
+						part = most
+					}
+					way := n.arc(out, hubIn[h], part, p.price(b, h, alive)+crowd*float64(i))
+					ways[[2]int{b, h}] = append(ways[[2]int{b, h}], way)
+				}
 			}
 		}
 		for _, x := range pinned {
 			if x.branch == b && x.work > 0 {
 				// A node of its own: this much goes there, whatever is shorter.
 				way := n.arc(out, originIn, x.work, -pinEarns)
-				ways[[2]int{-b - 1, x.hub}] = way
+				ways[[2]int{b, x.hub}] = append(ways[[2]int{b, x.hub}], way)
 			}
 		}
 	}
 	for _, h := range hubs {
 		if hubIn[h] != 0 {
-			for k := range crowdParts { // the fuller it is the dearer, so that hubs that are as near share what they take
-				n.arc(hubIn[h], originIn, room[h]/crowdParts, crowd*float64(k))
-			}
+			n.arc(hubIn[h], originIn, room[h], 0)
 		}
 	}
 	n.arc(originIn, sink, origin, 0)
@@ -251,12 +266,10 @@
 			}
 		}
 	}
-	for key, way := range ways {
-		b := key[0]
-		if b < 0 {
-			b = -b - 1
+	for key, arcs := range ways {
+		for _, way := range arcs {
+			f.fills[key[0]][key[1]] += n.sent(way)
 		}
-		f.fills[b][key[1]] += n.sent(way)
 	}
 	for _, s := range streams {
 		work := t.fills(s.branch, s.class, alive[s.branch] == 0) * load
--- a/internal/siteview/view.go
+++ b/internal/siteview/view.go
@@ -42,7 +42,7 @@
 	enough     = 2.0                    // servers that have failed, with none that answered between
 	half       = 0.5                    // and more than this part of those that are ready
 	silentOnce = 0.5                    // of a server, that one silence counts for: an answer may be lost
-	silentMore = 0.125                  // and each further one
+	silentMore = 0.25                   // and each further one
 	failAge    = 5 * time.Second        // after which a failure counts no more
 	leastStay  = time.Second            // in a state, before a site may leave it for a better one
 	backRate   = 0.25                   // part of a hub's objects that go back to it in a second
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -536,10 +536,12 @@
 		switch s.score = -d.weight(s) / math.Log(u); {
 		case s.role == origin:
 			s.score = math.Inf(-1)
-		case s.role == parent && d.sites.Pull(s.Zone) == 0 && !d.mayLook(s):
-			s.score = -1 / s.score // after all that get some by plan, in the same order
+		case s.role == parent && d.sites.Pull(s.Zone) > 0:
+			s.score *= d.sites.Pull(s.Zone)
+		case s.role == parent && s.Zone == d.s.Family.HubByZone[d.s.Zone] && d.mayLook(s):
+			s.score = math.Inf(1) // our hub is lost: the next request is the look
 		case s.role == parent:
-			s.score *= cmp.Or(d.sites.Pull(s.Zone), 1)
+			s.score = -1 / s.score // after all that get some by plan, in the same order
 		}
 	}
 	slices.SortFunc(group, func(a, b *server) int {
@@ -818,9 +820,10 @@
 		}
 		for _, a := range s.to.out {
 			if d.now-a.sent > max(a.doubled, 2*a.expect) {
-				if d.timed(a); !a.fill {
+				if a.doubled == 0 && !a.fill { // a fill may wait for its source
 					s.seen.Silent(d.now, a.sent)
 				}
+				d.timed(a)
 			}
 			if a.fill && a.source.spoke > a.sent && s.heard > a.sent && !d.slow(s) && d.now-a.sent > a.aim {
 				d.shield.Answered(d.now, a.sent, true) // neither hangs, so the origin does
