Serve copies in their grace where the origin is not to be asked, and call it slow once

Need: where the origin makes fills late, what parents lack was refused, though a cache may hold a copy past its fresh time, which the settings let it serve for a while (staleFor) and which earns a part; and nobody was told that the origin is slow.

Change: a request that is kept from the origin and that parents have nothing for looks once for a copy in its grace, purges heeded, and is refused only behind that, at once. The origin is a state beside those of the sites: slow under half of the fills, well when all go on to it again; one log line and a counter each.

--- a/internal/siteview/view.go
+++ b/internal/siteview/view.go
@@ -26,11 +26,12 @@
 	CutOff           // its servers are silent: from here that is as good as lost, but they may be serving others
 	Returning        // it answers again, and gets its load back by and by
 	Relapsed         // it was lost again while returning: it waits twice as long as before
+	Slow             // the origin alone: it makes fills late, and a part of them is kept from it
 )
 
 // String is the state's name in logs.
 func (s State) String() string {
-	return [...]string{"well", "member lost", "lost", "cut off", "returning", "relapsed"}[s]
+	return [...]string{"well", "member lost", "lost", "cut off", "returning", "relapsed", "slow"}[s]
 }
 
 // gone tells that nothing is sent there but looks.
@@ -52,6 +53,8 @@
 	wellAfter  = 8                // answers in a row that a returning site must have given: no clock alone heals it
 	aloneAfter = time.Second      // nobody anywhere has answered for so long while several sites were asked: it is us
 	aloneSites = 2
+	slowUnder  = 0.5 // part of the fills that go on to the origin, under which it is called slow
+	slowUntil  = 1.0 // and until when
 )
 
 // Config is what a view is made for.
@@ -86,13 +89,14 @@
 	heard     Time // the last answer from anybody
 	asked     Time // the first failure since then
 	alone     bool
+	origin    State
 	aloneFrom Time
 	changes   []Change
 	Counters  Counters
 }
 
 // Counters count changes of state.
-type Counters struct{ Losses, CutOffs, Returns, Relapses, Recoveries, Alone uint64 }
+type Counters struct{ Losses, CutOffs, Returns, Relapses, Recoveries, Alone, OriginSlow uint64 }
 
 // Change is one change of a site's state, with its evidence.
 type Change struct {
@@ -300,8 +304,16 @@
 }
 
 // Tick brings the states up to date, and tells what has changed since the last call. It is called often, some twenty
-// times a second.
-func (v *View) Tick(now Time, changed func(Change)) {
+// times a second. Open is the part of the fills that go on to the origin.
+func (v *View) Tick(now Time, open float64, changed func(Change)) {
+	if to := v.origin; open < slowUnder && to == Well {
+		v.origin = Slow
+		v.Counters.OriginSlow++
+		v.changes = append(v.changes, Change{"origin", to, Slow, fmt.Sprintf("%.2f of the fills go on to it", open)})
+	} else if open >= slowUntil && to == Slow {
+		v.origin = Well
+		v.changes = append(v.changes, Change{"origin", to, Well, "all fills go on to it"})
+	}
 	v.tellAlone(now)
 	for z := range v.sites {
 		if v.sites[z].seen {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -282,7 +282,8 @@
 			return true
 		}
 	}
-	if !full || r.looked || r.looks > 0 || r.shut {
+	stale := r.shut && r.tier == origin && d.s.Family.StaleFor[r.Class] > 0
+	if !full || r.looked || (!stale && (r.looks > 0 || r.shut)) {
 		return false
 	}
 	r.looked = true
@@ -349,13 +350,12 @@
 	t.spent.Spend(work)
 
 	c, q := &d.classes[r.Class], &d.s.Services[r.Class]
-	age := time.Duration(0)
-	fresh := f.ClassFresh[r.Class]
+	age, fresh := time.Duration(0), f.ClassFresh[r.Class]
+	if r.shut && r.tier == origin && fresh > 0 {
+		age = fresh + f.StaleFor[r.Class] // nothing fresh is to be had: that earns a part, a refusal nothing
+	}
 	if p, ok := d.lastPurge(r); ok {
-		age = max(1, d.now-p.made)
-		if fresh > 0 {
-			age = min(age, fresh)
-		}
+		age = min(max(1, d.now-p.made), cmp.Or(age, fresh, math.MaxInt64))
 	}
 	a := &attempt{id: r.ID, no: len(r.tries), class: r.Class, target: t, source: src, sent: d.now,
 		work: work, told: cmp.Or(r.told, work), expect: seconds(c.latency.Is * work / c.work.Is),
@@ -483,7 +483,7 @@
 		if r.looked = r.looked || (src == nil && o.Note == NoteJoined); o.Note != NoteJoined {
 			r.looks = pacing.LooksMost // none fills it: it may be filled at once
 		}
-		return src == nil && r.looked && !a.look
+		return src == nil && r.looked && !a.look && !r.shut
 	}
 	return full
 }
@@ -752,8 +752,8 @@
 	case src == nil:
 	case o.Note == NoteSourceUnreached:
 		// Quickly: it is down. Late: perhaps crowded, and to eject it would crowd the others in a cascade.
-		src.seen.Unreached(d.now, a.sent, o.Waited < quickly)
-		if n := src.missed.Add(d.now); src.ejected || o.Waited < quickly || (n >= 3 && src.seen.Alone(d.now)) {
+		n, down := src.missed.Add(d.now), o.Waited < quickly
+		if src.seen.Unreached(d.now, a.sent, down); src.ejected || down || (n >= 3 && src.seen.Alone(d.now)) {
 			d.eject(src, "source not reached")
 		}
 	case untold, o.Note == NoteSourceRefused, o.Note == NoteSourceLacks, o.Note == NoteOriginFailed,
@@ -813,7 +813,7 @@
 // tick takes attempts that are out for long as samples of pace, and sweeps.
 func (d *Router) tick() {
 	d.do(SetTimer{Token: tickTimer, At: d.now + tickEvery})
-	d.sites.Tick(d.now, func(c siteview.Change) { d.do(Log{Text: c.String()}) })
+	d.sites.Tick(d.now, d.shield.Open(d.now), d.changed)
 	for _, s := range d.caches {
 		if d.sites.Shut() && !s.ejected {
 			d.eject(s, "site lost")
--- a/rules/settings.go
+++ b/rules/settings.go
@@ -63,6 +63,9 @@
 	d.sites.Plan, d.sites.Rate, d.sites.Deaf = plan, rate, deaf
 }
 
+// changed logs a change of a site's state: each has a line of its own, with its evidence.
+func (d *Router) changed(c siteview.Change) { d.do(Log{Text: c.String()}) }
+
 // Sites counts what was seen of whole sites.
 func (d *Router) Sites() siteview.Counters { return d.sites.Counters }
 
