Look at a lost branch every half second, and spread the clients that it refuses

A silent branch's caches were looked at less and less often, up to 4 s apart, so its return was found late; and the advice to stay away until the next look was cut to the longest that clients heed, the same for all of them, so that they came back in step.

Change: while a branch is lost as a whole its caches are looked at twice a second, as one tells of all; the advice is three quarters of the longest at most, and spread over the rest.

--- a/internal/siteview/view.go
+++ b/internal/siteview/view.go
@@ -545,6 +545,15 @@
 // Returning tells that our branch is coming back, so that what it can do goes to what is wanted most.
 func (v *View) Returning() bool { return v.sites[v.c.Own].state == Returning }
 
+// LookEvery bounds the time between two looks at a server of our branch while that is lost as a whole: what is known of
+// one tells of all, so that what a look costs is worth it at any time.
+func (v *View) LookEvery() time.Duration {
+	if v.Shut() {
+		return waitFirst
+	}
+	return math.MaxInt64
+}
+
 // LookIn is how long it is until an answer of a lost site would count as its return: a client that is refused may as
 // well stay away for that long. 0: the site is not lost.
 func (v *View) LookIn(now Time, zone int) time.Duration {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -494,8 +494,8 @@
 	if !d.s.Ceilings.RetryAfter {
 		return 0
 	}
-	wait := max(holdFor, d.sites.LookIn(d.now, d.s.Zone))
-	return min(d.s.Ceilings.MaxRetryAfter, wait+time.Duration(d.rng.Int64N(int64(wait))))
+	wait := min(max(holdFor, d.sites.LookIn(d.now, d.s.Zone)), d.s.Ceilings.MaxRetryAfter*3/4)
+	return wait + time.Duration(d.rng.Int64N(int64(min(wait, d.s.Ceilings.MaxRetryAfter-wait))+1))
 }
 
 // end is the one place where a request is answered by us. A refusal is given where the rules allow it.
@@ -791,7 +791,7 @@
 	} else if d.now < s.until {
 		return
 	}
-	s.backoff = min(2*s.backoff, ejectMost)
+	s.backoff = min(2*s.backoff, ejectMost, d.sites.LookEvery())
 	s.until = d.now + s.backoff
 	for _, a := range slices.Concat(s.to.out, s.from.out) { // what may be sent again elsewhere is called off
 		r := d.reqs[a.id]
