Let a lost branch return behind a tenth of a second, as its load moves nowhere

Change: the wait of the own branch begins with 0.1 s, that of others with 0.5 s; each relapse doubles it as before.

--- a/internal/siteview/view.go
+++ b/internal/siteview/view.go
@@ -47,11 +47,13 @@
 	leastStay  = time.Second            // in a state, before a site may leave it for a better one
 	backRate   = 0.25                   // part of a hub's objects that go back to it in a second
 	waitFirst  = 500 * time.Millisecond // after a loss, before an answer counts as a return; doubled by each relapse
+	waitOwn    = 100 * time.Millisecond // and of our own branch: its load moves nowhere, so that waiting only refuses it
 	waitMost   = 8 * time.Second
-	calmFor    = 20 * time.Second // a site that was well for so long has its relapses forgotten
-	startsAt   = 0.1              // part of its load that a returning site gets at once
-	wellAfter  = 8                // answers in a row that a returning site must have given: no clock alone heals it
-	aloneAfter = time.Second      // nobody anywhere has answered for so long while several sites were asked: it is us
+	lookEvery  = 500 * time.Millisecond // between two looks at a server of our lost branch
+	calmFor    = 20 * time.Second       // a site that was well for so long has its relapses forgotten
+	startsAt   = 0.1                    // part of its load that a returning site gets at once
+	wellAfter  = 8                      // answers in a row that a returning site must have given: no clock alone heals it
+	aloneAfter = time.Second            // nobody anywhere has answered for so long while several sites were asked: it is us
 	aloneSites = 2
 	slowUnder  = 0.5 // part of the fills that go on to the origin, under which it is called slow
 	slowUntil  = 1.0 // and until when
@@ -374,14 +376,14 @@
 	}
 	switch {
 	case lost && s.state == Returning:
-		s.wait = min(waitMost, max(2*s.wait, 2*waitFirst))
+		s.wait = min(waitMost, 2*s.wait)
 		v.Counters.Relapses++
 		v.change(now, zone, Relapsed, how)
 	case lost && !s.state.gone():
 		if now-s.since > calmFor {
 			s.wait = 0
 		}
-		s.wait = max(s.wait, waitFirst)
+		s.wait = max(s.wait, v.first(zone))
 		v.change(now, zone, worse, how)
 	case s.state == Returning && !lost && n == 0 && s.goods >= wellAfter && (!s.fresh || v.ramp(now, s) >= 1):
 		v.Counters.Recoveries++
@@ -425,6 +427,14 @@
 	return fmt.Sprint("zone ", zone)
 }
 
+// first is the shortest wait of a site.
+func (v *View) first(zone int) time.Duration {
+	if zone == v.c.Own {
+		return waitOwn
+	}
+	return waitFirst
+}
+
 // ramp is the part of its load that a returning hub may have by the time since it came back.
 func (v *View) ramp(now Time, s *site) float64 {
 	return min(1, startsAt+cmp.Or(v.Rate, backRate)*(now-s.since).Seconds())
@@ -549,7 +559,7 @@
 // one tells of all, so that what a look costs is worth it at any time.
 func (v *View) LookEvery() time.Duration {
 	if v.Shut() {
-		return waitFirst
+		return lookEvery
 	}
 	return math.MaxInt64
 }
