--- a/internal/siteview/view.go
+++ b/internal/siteview/view.go
@@ -564,12 +564,12 @@
 	return math.MaxInt64
 }
 
-// LookIn is how long it is until an answer of a lost site would count as its return: a client that is refused may as
-// well stay away for that long. 0: the site is not lost.
+// LookIn is how long it is until a lost site can be found back: until the next look, or until an answer counts as its
+// return. A client that is refused may as well stay away for that long. 0: the site is not lost.
 func (v *View) LookIn(now Time, zone int) time.Duration {
 	s := &v.sites[zone]
 	if !s.state.gone() {
 		return 0
 	}
-	return max(time.Millisecond, time.Duration(math.Max(0, float64(s.since+s.wait-now))))
+	return max(lookEvery/2, s.since+s.wait-now)
 }
