--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -140,6 +140,9 @@
 		if kept != nil {
 			fmt.Fprintln(kept, log.Text())
 		}
+		if strings.Contains(log.Text(), `"msg":"we are cut off: `) {
+			p.lab.record.add(Event{Kind: "state", Who: directorName(p.id), What: "alone"})
+		}
 		if _, rest, ok := strings.Cut(log.Text(), `"msg":"site `); ok {
 			site, rest, _ := strings.Cut(rest, ": ")
 			state, _, _ := strings.Cut(rest, ", was ")
--- a/internal/labcheck/sites.go
+++ b/internal/labcheck/sites.go
@@ -307,11 +307,15 @@
 	// To call a site lost of which half or more is there is an alarm, too.
 	losses = slices.DeleteFunc(slices.Clone(losses), func(x loss) bool { return x.share <= 0.5 })
 	moves, events := 0.0, 0.0
-	moved := map[string]bool{}
+	moved, alone := map[string]bool{}, map[string]bool{}
 	for _, l := range r.lines {
 		if l.Kind != "state" {
 			continue
 		}
+		if l.What == "alone" {
+			alone[l.Who] = true
+			continue
+		}
 		known := slices.ContainsFunc(losses, func(x loss) bool {
 			return (x.site == l.Site || x.site == "") && l.MS >= x.from && l.MS <= x.to+lateAlarm
 		})
@@ -331,6 +335,7 @@
 		}
 	}
 	f["moves_per_event"] = over(moves, events)
+	f["cut_off_told"] = float64(len(alone))
 }
 
 // returned is the time from the last return until nine tenths of the part that was served before the loss is served
@@ -366,4 +371,4 @@
 
 // siteNames are the figures of this file.
 var siteNames = strings.Fields(`served_share_loss served_share_bound survivor_peak detect_ms_p95 false_alarms
-	moves_per_event return_ms_90 repayments_refused_share others_refused_share repayments_refused_excess bound_share`)
+	moves_per_event return_ms_90 repayments_refused_share others_refused_share repayments_refused_excess bound_share cut_off_told`)
--- a/internal/labcheck/sites_test.go
+++ b/internal/labcheck/sites_test.go
@@ -117,6 +117,8 @@
 		`{"ms":100,"kind":"link","who":"caches","what":"one-way"}`,
 		`{"ms":200,"kind":"state","who":"d0","site":"b1","what":"cut off"}`,
 		`{"ms":900,"kind":"link","who":"caches","what":"well"}`,
-		`{"ms":20000,"kind":"state","who":"d0","site":"b1","what":"lost"}`}, "\n")
-	want(t, figuresOf(t, plain), map[string]float64{"false_alarms": 1, "served_share_loss": 0, "detect_ms_p95": 0})
+		`{"ms":20000,"kind":"state","who":"d0","site":"b1","what":"lost"}`,
+		`{"ms":20100,"kind":"state","who":"d0","what":"alone"}`, `{"ms":20900,"kind":"state","who":"d0","what":"alone"}`}, "\n")
+	want(t, figuresOf(t, plain), map[string]float64{"false_alarms": 1, "served_share_loss": 0, "detect_ms_p95": 0,
+		"cut_off_told": 1})
 }
--- a/internal/siteview/view.go
+++ b/internal/siteview/view.go
@@ -50,6 +50,8 @@
 	waitOwn    = 100 * time.Millisecond // and of our own branch: its load moves nowhere, so that waiting only refuses it
 	waitMost   = 8 * time.Second
 	lookEvery  = 500 * time.Millisecond // between two looks at a server of our lost branch
+	wanted     = 2                      // uses of an object from which it counts as wanted
+	claimOnce  = 4.0                    // times its work that one which is not must find room for
 	calmFor    = 20 * time.Second       // a site that was well for so long has its relapses forgotten
 	startsAt   = 0.1                    // part of its load that a returning site gets at once
 	wellAfter  = 8                      // answers in a row that a returning site must have given: no clock alone heals it
@@ -552,8 +554,14 @@
 // go on, at all times: they tell when it is over.
 func (v *View) Shut() bool { return v.alone || v.sites[v.c.Own].state.gone() }
 
-// Returning tells that our branch is coming back, so that what it can do goes to what is wanted most.
-func (v *View) Returning() bool { return v.sites[v.c.Own].state == Returning }
+// Claim is how many times its work a request must find room for in the cold budget of a cache of our branch. While that
+// comes back, what is asked for once leaves room for what is wanted more; what runs at the origin is never held back so.
+func (v *View) Claim(uses int, passOn bool) float64 {
+	if uses < wanted && !passOn && v.sites[v.c.Own].state == Returning {
+		return claimOnce
+	}
+	return 1
+}
 
 // LookEvery bounds the time between two looks at a server of our branch while that is lost as a whole: what is known of
 // one tells of all, so that what a look costs is worth it at any time.
--- a/internal/siteview/view_test.go
+++ b/internal/siteview/view_test.go
@@ -124,6 +124,21 @@
 	}
 }
 
+// What is wanted more has the first claim on a branch that comes back, and repayments are never held back for it.
+func TestClaimsWhileOurBranchReturns(t *testing.T) {
+	f := newFleet(t)
+	claims := func() string {
+		return fmt.Sprint(f.v.Claim(1, false), f.v.Claim(2, false), f.v.Claim(1, true))
+	}
+	if got := claims(); got != "1 1 1" {
+		t.Errorf("well: %s", got)
+	}
+	f.play("c0 refuses, c1 refuses, c3 refuses, 200, c2 answers, 50")
+	if got := claims(); f.state(2) != Returning || got != "4 1 1" {
+		t.Errorf("%v: %s", f.state(2), got)
+	}
+}
+
 // The origin is called slow once, however its part swings until all goes on to it again.
 func TestSlowOriginIsToldOnce(t *testing.T) {
 	f := newFleet(t)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -343,7 +343,8 @@
 		return false
 	}
 	work := d.cost(r)
-	if (r.out > 0 && !d.s.Ceilings.SecondCopies) || !t.listed || t.State != Ready || !d.affordable(t, work) ||
+	if (r.out > 0 && !d.s.Ceilings.SecondCopies) || !t.listed || t.State != Ready ||
+		!d.affordable(t, work*d.sites.Claim(r.held.uses, r.passOn)) ||
 		(src != nil && (!src.listed || src.State != Ready)) || !d.affordable(src, work) {
 		return false
 	}
@@ -834,9 +835,8 @@
 	d.sweep()
 }
 
-// again asks the cache of an attempt that is lost once more, only for what it holds, as it has mostly run. A
-// copy that brings the answer earns the next ones: losses pay for themselves, and a crowd, where the first
-// answer comes first, ends them. Harm: some objects are sent twice.
+// again asks the cache of an attempt that is lost once more, only for what it holds. A copy that brings the
+// answer earns the next ones: losses pay for themselves, a crowd ends them. Harm: some objects go twice.
 func (d *Router) again(a *attempt) {
 	r, t := d.reqs[a.id], a.target
 	if !d.s.Ceilings.SecondCopies || d.s.Services[a.class].Effect != "read_like" || r == nil || a.look ||
