Take the options on lost sites as one type, and heed stay_ms

Change: siteview.Options holds plan, pace, stay and what tells that the list is not heard; where there is no plan the others still hold. Other sites stay lost for stay_ms at the least; the own branch's wait is as it was.

--- a/cmd/shaleyard/main.go
+++ b/cmd/shaleyard/main.go
@@ -28,6 +28,7 @@
 	"shaleyard/internal/loop"
 	"shaleyard/internal/pacing"
 	"shaleyard/internal/siteplan"
+	"shaleyard/internal/siteview"
 	"shaleyard/rules"
 )
 
@@ -164,13 +165,14 @@
 	p.director.Admission = pacing.NewAdmission(c.Seed)
 	// A plan that can't be made must not keep the director from starting: it goes on as without one.
 	advice, err := siteplan.NewAdviser(s, wishes, func(err error) { p.log.Warn("no plan for lost sites", zap.Error(err)) })
+	follow := siteview.Options{Rate: wishes.MovePerS, Stay: time.Duration(wishes.StayMS * float64(time.Millisecond)),
+		Deaf: func() bool { return p.feed.Reached() && p.clock.now()-p.feed.Heard() > p.limits.FeedSilence }}
 	if err != nil {
 		p.log.Warn("no plan for lost sites", zap.Error(err))
 	} else {
-		p.director.Follow(advice.Advise, wishes.MovePerS, func() bool {
-			return p.feed.Reached() && p.clock.now()-p.feed.Heard() > p.limits.FeedSilence
-		})
+		follow.Plan = advice.Advise
 	}
+	p.director.Follow(follow)
 	if l.FeedStart > 0 {
 		p.director.Closed = p.closed
 	}
--- a/cmd/shaleyard/stories_test.go
+++ b/cmd/shaleyard/stories_test.go
@@ -61,6 +61,29 @@
 	return launch(t, sockets, io.Discard, nil)
 }
 
+// A plan that names sites which the platform does not have is logged, and the program starts and serves all the same.
+func TestPlanThatCantBeMadeKeepsNobodyFromStarting(t *testing.T) {
+	s := &site{t: t, cache: nettest.Listen(t), origin: nettest.Listen(t), feed: nettest.Listen(t)}
+	c, err := config.Parse(s.config(1024), 1024)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for text, wishes := range map[string]siteplan.Wishes{
+		"":                       {},
+		"plan.forbid[0].lost":    {Forbids: []siteplan.Forbid{{Lost: "moon", To: "hub"}}},
+		"plan.shares: the class": {Shares: map[string]float64{"media": 0.2, "repayment": 0.2}},
+	} {
+		var log strings.Builder
+		p, err := assemble(c, wishes, newLogger(&log, "", c.Name))
+		if err != nil || p.feed.Replay(c.Known) != nil {
+			t.Fatalf("%s: %v", text, err)
+		}
+		if told := strings.Contains(log.String(), "no plan for lost sites"); told != (text != "") || !strings.Contains(log.String(), text) {
+			t.Errorf("%q: log %q", text, log.String())
+		}
+	}
+}
+
 // launch starts the program with its log going to logTo and its limits changed.
 func launch(t *testing.T, sockets int, logTo io.Writer, change func(*config.Limits)) *site {
 	t.Helper()
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -11,6 +11,7 @@
 	"os"
 
 	"shaleyard/internal/siteplan"
+	"shaleyard/internal/siteview"
 	"shaleyard/internal/wire"
 	"shaleyard/rules"
 )
@@ -86,7 +87,7 @@
 		return nil, err
 	}
 	if a, err := siteplan.NewAdviser(&s, siteplan.Wishes{}, nil); err == nil {
-		r.Follow(a.Advise, 0, nil) // as the real director does without an operators' file
+		r.Follow(siteview.Options{Plan: a.Advise}) // as the real director does without an operators' file
 	}
 	return r, nil
 }
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -189,11 +189,8 @@
 		names: map[rules.Host]string{}}, nil
 }
 
-// Follow sets the plan for the loss of whole sites, the pace at which traffic moves, and what tells that the list
-// service is not heard; it comes before the first event.
-func (d *Director) Follow(plan siteview.Plan, rate float64, deaf func() bool) {
-	d.router.Follow(plan, rate, deaf)
-}
+// Follow sets what is done when whole sites are lost; it comes before the first event.
+func (d *Director) Follow(o siteview.Options) { d.router.Follow(o) }
 
 // Sites counts what was seen of whole sites.
 func (d *Director) Sites() siteview.Counters { return d.router.Sites() }
--- a/internal/siteview/view.go
+++ b/internal/siteview/view.go
@@ -75,8 +75,8 @@
 // Plan gives advice. It is asked with the zones that are lost, and with what each zone carries when all of it is there.
 type Plan func(lost []int, carries []float64) Advice
 
-// View holds the states of all sites, as one director sees them. It is not safe for concurrent use.
-type View struct {
+// Options are what an installation may set. The zero follows no plan.
+type Options struct {
 	// Plan, where set, is followed; else other hubs share alike.
 	Plan Plan
 	// Deaf, where set, tells that the list service is not heard either.
@@ -84,6 +84,13 @@
 	// Rate, where set, is the part of a site's traffic that moves in a second at most, there and back. Else what a hub
 	// leaves is taken up as it comes, with the origin's shield for a guard, and goes back at backRate.
 	Rate float64
+	// Stay, where set, is how long another site stays lost at the least, in place of waitFirst.
+	Stay time.Duration
+}
+
+// View holds the states of all sites, as one director sees them. It is not safe for concurrent use.
+type View struct {
+	Options // set before the first event
 
 	c         Config
 	pull      []float64 // by zone: what the weight of its parents counts
@@ -434,7 +441,7 @@
 	if zone == v.c.Own {
 		return waitOwn
 	}
-	return waitFirst
+	return cmp.Or(v.Stay, waitFirst)
 }
 
 // ramp is the part of its load that a returning hub may have by the time since it came back.
--- a/internal/siteview/view_test.go
+++ b/internal/siteview/view_test.go
@@ -139,6 +139,19 @@
 	}
 }
 
+// An installation may have other sites stay lost for longer; our own branch returns as soon as it can.
+func TestStayIsForOtherSites(t *testing.T) {
+	f := newFleet(t)
+	f.v.Stay = 3 * time.Second
+	f.play("w0 refuses, w1 refuses, c0 refuses, c1 refuses, c3 refuses, 2000, w0 answers, c0 answers, 50")
+	if f.state(0) != Lost || f.state(2) != Returning {
+		t.Errorf("after 2 s of 3: the hub is %v, our branch %v", f.state(0), f.state(2))
+	}
+	if f.play("1100"); f.state(0) != Returning {
+		t.Errorf("after 3 s: the hub is %v", f.state(0))
+	}
+}
+
 // The origin is called slow once, however its part swings until all goes on to it again.
 func TestSlowOriginIsToldOnce(t *testing.T) {
 	f := newFleet(t)
--- a/rules/settings.go
+++ b/rules/settings.go
@@ -57,11 +57,8 @@
 	return nil
 }
 
-// Follow sets the plan that is followed when whole sites are lost, and the part of a site's traffic that moves in a
-// second at most; 0: as it comes. Deaf tells that the list service, too, is not heard. It comes before the first event.
-func (d *Router) Follow(plan siteview.Plan, rate float64, deaf func() bool) {
-	d.sites.Plan, d.sites.Rate, d.sites.Deaf = plan, rate, deaf
-}
+// Follow sets what is done when whole sites are lost. It comes before the first event.
+func (d *Router) Follow(o siteview.Options) { d.sites.Options = o }
 
 // changed logs a change of a site's state: each has a line of its own, with its evidence.
 func (d *Router) changed(c siteview.Change) { d.do(Log{Text: c.String()}) }
--- a/rules/sites_test.go
+++ b/rules/sites_test.go
@@ -41,9 +41,9 @@
 // A lost hub's fills are shared as the plan says; looks go there first, and it has them back once it answers.
 func TestLostHubIsReplacedByPlan(t *testing.T) {
 	w := threeHubs(t)
-	w.r.Follow(func([]int, []float64) siteview.Advice {
+	w.r.Follow(siteview.Options{Plan: func([]int, []float64) siteview.Advice {
 		return siteview.Advice{Hubs: []float64{0, 0, 0.75, 0.25}}
-	}, 0, nil)
+	}})
 	down := false
 	w.answer = func(w *world, o *open, n int) (Result, Note, time.Duration) {
 		if m := w.members[o.tries[n].source]; down && m.Kind == 1 && m.Zone == 0 {
