--- a/internal/pacing/firsts_test.go
+++ b/internal/pacing/firsts_test.go
@@ -1,22 +1,30 @@
 package pacing
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // A look costs an answer's time: only where a crowd of first fills is likely.
 func TestLooksOnlyWhereACrowdIsLikely(t *testing.T) {
+	var f Firsts
+	f.Look(time.Minute, false, 1, 0) // begins
+	later := time.Minute + firstsSpan
 	for _, tc := range []struct {
+		now   Time
 		cold  bool
 		open  float64
 		looks int
 		want  bool
 	}{
-		{false, 1, 0, false},           // an ordinary miss, also of a director that has just started
-		{true, 1, 0, true},             // the cache has
-		{false, 0.4, 0, true},          // the origin is crowded
-		{true, 1, LooksMost, false},    // no fill was under way, or it took too long
-		{true, 1, LooksMost - 1, true}, // one was, and may have ended
+		{time.Minute, false, 1, 0, true},      // all directors may have just started
+		{later, false, 1, 0, false},           // an ordinary miss
+		{later, true, 1, 0, true},             // the cache has
+		{later, false, 0.4, 0, true},          // the origin is crowded
+		{later, true, 1, LooksMost, false},    // no fill was under way, or it took too long
+		{later, true, 1, LooksMost - 1, true}, // one was, and may have ended
 	} {
-		if got := LookFirst(tc.cold, tc.open, tc.looks); got != tc.want {
+		if got := f.Look(tc.now, tc.cold, tc.open, tc.looks); got != tc.want {
 			t.Errorf("%+v: looks %v", tc, got)
 		}
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -269,7 +269,7 @@
 		r.drawn, r.shut = true, d.rng.Float64() >= min(d.shield.Open(d.now), d.sites.Fills(d.now, r.Class))
 	}
 	tells := limited && !r.shut && !d.s.Family.MergesFills && d.s.Family.NotesGiven == "all"
-	if tells && pacing.LookFirst(t.cold != 0, d.shield.Open(d.now), max(r.looks, len(r.tries))) &&
+	if tells && d.firsts.Look(d.now, t.cold != 0, d.shield.Open(d.now), max(r.looks, len(r.tries))) &&
 		d.affordable(t, 2*d.cost(r)) { // what it lacks is then filled there
 		return d.send(r, t, nil)
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -147,6 +147,7 @@
 	asking        []*request     // waiting for far masters
 	shield        *pacing.Shield // of the origin, against fills
 	repeats       pacing.Repeats // what further attempts may still be made
+	firsts        pacing.Firsts  // whether a likely miss first asks for what is held
 	sites         *siteview.View // how whole sites fare
 	notZero       bool           // a lower-numbered router of our location was heard of
 }
