Drop what the plan's topology carried and nobody read

Cause: seen on reading the change once more: seats, grace and lateral were filled in and never used, Planner.Topology had no caller, and cmpOr was the standard library's cmp.Or again.

Change: they are gone; a test's script lost an empty text in front. No decision has changed, no check is loosened.

Result: the packages' tests pass, the comparison with brute force among them.

--- a/internal/siteplan/plan.go
+++ b/internal/siteplan/plan.go
@@ -32,9 +32,6 @@
 	return p, nil
 }
 
-// Topology is what the plans are made for.
-func (p *Planner) Topology() *Topology { return p.t }
-
 // Plan says what is done while some sites are lost.
 type Plan struct {
 	Lost     []string     `json:"lost"`
--- a/internal/siteplan/topology.go
+++ b/internal/siteplan/topology.go
@@ -6,6 +6,7 @@
 package siteplan
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -23,7 +24,6 @@
 	LinkIn  float64 // of a branch: transfers that its link in takes; 0: not told, and taken for enough
 	Home    int     // of a branch: its hub's place in Topology.Sites; -1: it has none
 	Ring    int     // of a hub: its place in the ring; each step is a longer way
-	Seats   int     // of a branch: directors that serve it
 }
 
 // Class is a class of requests.
@@ -34,7 +34,6 @@
 	Worth  float64       // of one request
 	Once   bool          // must not run twice: refused last
 	PassOn bool          // runs at the origin, and takes next to nothing of links
-	Grace  time.Duration // for how long past its fresh time a copy may be served
 }
 
 // density is the worth of a second of sending: what is lost for each unit of the scarce thing that is saved.
@@ -45,7 +44,6 @@
 	Sites   []Site
 	Classes []Class
 	Bypass  bool // parents and the origin take clients' requests too
-	Lateral bool // caches of other branches may be a source
 
 	Load       float64 // usual load, as a part of what a branch's caches carry
 	Hits       float64 // part of the work that caches hold
@@ -76,8 +74,8 @@
 // servers carry nothing.
 func From(s *rules.Settings, members []rules.Member, w Wishes) (*Topology, error) {
 	f, g := &s.Family, &s.Guarantees
-	t := &Topology{Bypass: f.BypassAllowed, Lateral: f.Lateral == "any", Load: cmpOr(w.UsualLoad, usualLoad),
-		Hits: cmpOr(w.Hits, usualHits), ParentHits: cmpOr(w.ParentHits, parentHits), Origin: w.Origin,
+	t := &Topology{Bypass: f.BypassAllowed, Load: cmp.Or(w.UsualLoad, usualLoad),
+		Hits: cmp.Or(w.Hits, usualHits), ParentHits: cmp.Or(w.ParentHits, parentHits), Origin: w.Origin,
 		FarPrice: f.TransitPrice,
 		Cold:     g.Cold, ColdFrom: g.ColdFrom, ColdTimes: g.TipMultiple,
 		ParentCold: f.ParentRamp, ParentFrom: f.ParentColdFrom, ParentTops: f.ParentFallMultiple}
@@ -97,9 +95,6 @@
 		site := Site{Name: name, Carries: carries[z], Home: -1, Ring: -1}
 		seats := z < len(f.SeatsByZone) && f.SeatsByZone[z] > 0
 		site.Hub = hubs[z] || (!seats && !seen[z])
-		if seats {
-			site.Seats = f.SeatsByZone[z]
-		}
 		if !site.Hub && z < len(f.FeedKBPerS) && f.FlowKBPerS > 0 {
 			site.LinkIn = f.FeedKBPerS[z] / f.FlowKBPerS
 		}
@@ -123,9 +118,6 @@
 		k := Class{Name: c.Name, Share: 1 / float64(len(s.Services)), Work: usualWork, Worth: c.Worth,
 			Once: c.Effect == "non_idempotent"}
 		k.PassOn = i < len(f.PassOn) && f.PassOn[i]
-		if i < len(f.StaleFor) && i < len(f.ClassFresh) && f.ClassFresh[i] > 0 {
-			k.Grace = f.StaleFor[i]
-		}
 		if ms := w.WorkMS[c.Name]; ms > 0 {
 			k.Work = time.Duration(ms * float64(time.Millisecond))
 		}
@@ -165,13 +157,6 @@
 	return t, t.check()
 }
 
-func cmpOr(a, b float64) float64 {
-	if a != 0 {
-		return a
-	}
-	return b
-}
-
 func (t *Topology) class(name string) int {
 	return slices.IndexFunc(t.Classes, func(c Class) bool { return c.Name == name })
 }
--- a/internal/siteview/view_test.go
+++ b/internal/siteview/view_test.go
@@ -99,7 +99,7 @@
 		"two of five refuse, none answers":     {"c0 refuses, c1 refuses, 100", 2, MemberLost},
 		"one answer is lost":                   {"c0 silent, c1 silent, c2 silent, 100", 2, MemberLost},
 		"all are silent":                       {all("silent", append(caches, caches...)...) + ", 100", 2, CutOff},
-		"three are silent for long":            {"" + strings.Repeat(all("silent", "c0", "c1", "c2")+", ", 3) + "100", 2, CutOff},
+		"three are silent for long":            {strings.Repeat(all("silent", "c0", "c1", "c2")+", ", 3) + "100", 2, CutOff},
 		"failures that are long past":          {"c0 refuses, 4900, c1 answers, 200, c1 refuses, 100", 2, MemberLost},
 		"the list has none left":               {all("gone", caches...) + ", 100", 2, Lost},
 		"the list has one left":                {all("gone", caches[1:]...) + ", 100", 2, Well},
