Pass the client's idempotency key on to caches

Change: director.Request carries IdempotencyKey; it is checked as a token, as 'known' is, lest it bring separators into FIELDS, and written as 'op' before 'up'. Tests: TestRequestIsReadInAnyPieces, TestBadFieldsAreNamed and TestRequestFields fail without it.

--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -329,6 +329,9 @@
 	b = append(append(b, ",asset="...), r.Object...)
 	b = append(append(b, ",slice="...), r.Part...)
 	b = strconv.AppendInt(append(b, ",patience="...), int64(max(1, patience/time.Millisecond)), 10)
+	if r.IdempotencyKey != "" {
+		b = append(append(b, ",op="...), r.IdempotencyKey...)
+	}
 	if q.Up != "" {
 		b = append(append(b, ",up="...), q.Up...)
 	}
--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -58,6 +58,8 @@
 
 func TestRequestFields(t *testing.T) {
 	r := director.Request{Service: "media", Object: "7f3a", Part: "3", Known: "k"}
+	keyed := r
+	keyed.IdempotencyKey = "5c0f"
 	for _, c := range []struct {
 		call director.Call
 		want string
@@ -66,6 +68,7 @@
 			"sort=media,asset=7f3a,slice=3,patience=1500,up=s-1,store=2,cap=8,do=share+swr,inm=k"},
 		{director.Call{Request: &r, How: rules.SourceHolds, MaxAge: 1},
 			"sort=media,asset=7f3a,slice=3,patience=1500,cap=1,do=peek,inm=k"},
+		{director.Call{Request: &keyed, Up: "s-1"}, "sort=media,asset=7f3a,slice=3,patience=1500,op=5c0f,up=s-1,inm=k"},
 	} {
 		if got := string(appendFields(nil, c.call, 1500*time.Millisecond)); got != c.want {
 			t.Errorf("got  %s\nwant %s", got, c.want)
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -351,6 +351,7 @@
 func (s *Server) request(a submit, q *director.Request) error {
 	f := a.fields
 	q.Ref, q.Service, q.Object, q.Part, q.Known = f["ref"], f["service"], f["lookup"], f["chunk"], f["known"]
+	q.IdempotencyKey = f["replay"]
 	class, ok := s.classes[q.Service]
 	if !ok {
 		return fmt.Errorf("service: %.40q is none of ours", q.Service)
@@ -365,6 +366,9 @@
 	if q.Known != "" && !token(q.Known) {
 		return fmt.Errorf("known: %.40q is no tag", q.Known)
 	}
+	if q.IdempotencyKey != "" && !token(q.IdempotencyKey) {
+		return fmt.Errorf("replay: %.40q is no idempotency key", q.IdempotencyKey)
+	}
 	allow, err := number("allow", f["allow"], 1, int(s.limits.LongestAllow/time.Millisecond))
 	if err != nil {
 		return err
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -48,7 +48,7 @@
 
 func request(ref string) []string {
 	return []string{"service", "media", "ref", ref, "allow", "1500", "lookup", "7f3a9c21e0b4d655", "chunk", "3",
-		"tag", "17", "room", "412.5", "known", "4be0c1927d55a6f3", "unheard", "of"}
+		"tag", "17", "room", "412.5", "known", "4be0c1927d55a6f3", "replay", "5c0f6e1a2b3d4c59", "unheard", "of"}
 }
 
 const ref = "9b1f03aa5c7e2d41"
@@ -70,10 +70,10 @@
 			t.Fatalf("pieces of %d: %d requests", piece, len(b.taken))
 		}
 		q := b.taken[0]
-		got := []any{q.Ref, q.Service, q.Object, q.Part, q.Class, q.Key, q.PartNo, q.Group, q.SizeKB, q.Known, q.Allow,
+		got := []any{q.Ref, q.Service, q.Object, q.Part, q.Class, q.Key, q.PartNo, q.Group, q.SizeKB, q.Known, q.IdempotencyKey, q.Allow,
 			q.Body.Len()}
 		want := []any{ref, "media", "7f3a9c21e0b4d655", "3", 1, uint64(0x7f3a9c21e0b4d655), 3, 17, 412.5,
-			"4be0c1927d55a6f3", 1500 * time.Millisecond, 99}
+			"4be0c1927d55a6f3", "5c0f6e1a2b3d4c59", 1500 * time.Millisecond, 99}
 		if d := cmp.Diff(want, got); d != "" {
 			t.Fatalf("pieces of %d: %s", piece, d)
 		}
@@ -87,7 +87,7 @@
 func TestBadFieldsAreNamed(t *testing.T) {
 	for _, c := range []struct{ name, value string }{{"service", "nobody"}, {"ref", "xyz"}, {"ref", "9b1f03aa5c7e2d4g"},
 		{"allow", "0"}, {"allow", "soon"}, {"lookup", ""}, {"chunk", "-1"}, {"chunk", "+3"}, {"chunk", "03"}, {"tag", "256"}, {"room", "NaN"},
-		{"room", "-1"}, {"known", "a,up=b"}} {
+		{"room", "-1"}, {"known", "a,up=b"}, {"replay", "a,up=b"}} {
 		b := newBench()
 		w := &nettest.Link{}
 		x := b.s.Accept(w)
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -30,7 +30,8 @@
 	Failed          // nothing is said about its effect
 )
 
-// Request is what a front hands in. Ref, Service, Object and Part pass on unchanged.
+// Request is what a front hands in. Ref, Service, Object, Part and IdempotencyKey
+// pass on unchanged.
 type Request struct {
 	Ref, Service, Object, Part string
 	Class                      int // index of Service in the settings
@@ -38,6 +39,7 @@
 	PartNo, Group              int
 	SizeKB                     float64
 	Known                      string        // tag of the client's copy, if any
+	IdempotencyKey             string        // the same for all tries of one request, if any
 	Allow                      time.Duration // the client waits so long
 	Body                       buffer.Chain  // owned by the director from Submit on
 }
