Take back unwritten attempts that news, purges, windows or a leaving client have overtaken

Read line by line, each shown by a test that fails without its mend:

An attempt waits for its dial up to the connect timeout (twice more after resets), and was written whenever that came up. A drain of its target or source, a new life, or a purge of its object told meanwhile were passed over (director.send and caches.Opened knew nothing of them): later than 2 s or 500 ms after the news that breaks a rule. Now Director.Members and Director.Purge take back what is unwritten and touched (Peers.Recall), and the router decides anew. 2. A request withdrawn while the process was held behind a pause kept its waiting attempt until the release; a dial that came up in between wrote it for a client that had gone. Withdraw takes it back at once, and the peers write nothing while held. 3. Pauses of 80 to 300 ms were no pauses: what was read first was sent first, though the client's close or cancel lay in the next socket, more than 0.1 s old. PauseLimit is 80 ms now, and the rest a tenth of the gap; work is let in as after a start only behind 300 ms, as before. 4. The window of a keyed class was looked at when a repeat was decided, not when it was written (rules.maySend). Fetch and Forward carry Before, the end of the first window that may have run less 50 ms for the way; caches.write holds to it and ends the attempt as never run. 5. An id answered other than well could go out on the same connection again as soon as another answer had come between (conn.last): a second copy of BUSY would then say of a repayment that is out that it never ran. Such ids stay away from their connection for PeerGhost. 6. A connection with up to 1 MB untaken took new attempts, which would leave whenever the peer read on. It takes none now. 7. Idle connections to some peers could hold all descriptors; the others got Moot. The longest idle one makes room. Where a peer's share is used up, a repayment takes the place of an idle connection, not the connection. 8. SAME was believed whatever copy it named. It must name the client's.

Ruled out: attempts decided in the queue of a busy router (Director.send looks at over).

--- a/cmd/shaleyard/main.go
+++ b/cmd/shaleyard/main.go
@@ -72,6 +72,8 @@
 
 	reloads, reloadsFailed, pauses uint64
 
+	longPause bool // the pause that is settling
+
 	rejectLogAt rules.Time // no line on a rejected connection before
 }
 
@@ -263,12 +265,17 @@
 // may have drained, an object been purged, and both count as told.
 func (p *program) paused(gap time.Duration) {
 	p.pauses++
-	p.log.Warn("paused: reading the news first", zap.Duration("for", gap), zap.Int("open", p.director.Open()))
+	if p.longPause = p.longPause || gap > p.limits.PauseLong; p.longPause {
+		p.log.Warn("paused: reading the news first", zap.Duration("for", gap), zap.Int("open", p.director.Open()))
+	}
 	p.director.Hold()
 	p.feed.Paused()
 }
 
-func (p *program) settled() { p.director.Release() }
+func (p *program) settled() {
+	p.director.Release(p.longPause)
+	p.longPause = false
+}
 
 // reject counts a connection that was closed for what came on it. At most one a second is logged: who sends
 // junk must not have the loop write a line for each.
--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -34,6 +34,7 @@
 	BadStream, BadAnswer, Backlogged, NoPeer      uint64
 	BytesIn, BytesOut, SilentConns, NoDescriptors uint64
 	Moved, Stale, Crossed, Redials, Shared        uint64
+	Expired, MadeRoom                             uint64
 }
 
 // Fleet holds the connections to all peers.
@@ -54,6 +55,7 @@
 	conns  *director.Table[*conn]
 	keep   rules.Time // an idle connection is used again for so long: learnt from resets
 	files  int        // descriptors in use: two while a dial is handed to the loop, then one
+	held   bool       // nothing is written, until Release
 	head   []byte
 	iov    [][]byte
 }
@@ -79,13 +81,12 @@
 	parser parser
 	open   map[string]*call
 	line   []*call               // wait until it is up
-	ghosts map[string]rules.Time // given up here; an answer may still cross
+	ghosts map[string]rules.Time // ids given up here, or answered other than well: another answer may still come
 	up     rules.Time            // when it was opened
 	asked  rules.Time            // first write since something was heard; 0: nothing is owed
 	used   rules.Time            // when it last took an attempt
 	rested rules.Time            // since when it has nothing open
 	spoilt bool                  // closed by us for what came on it
-	last   string                // id of the last answer
 	served int                   // answers that came
 	spent  bool                  // takes no new attempts
 	closed bool
@@ -101,8 +102,9 @@
 	gap     rules.Time // for how long its connection had been idle
 	redials int        // dials that were reset under it
 	written bool
-	known   bool
-	frame   func() // writes it, once the connection is up
+	known   string     // tag of the client's copy; "": none
+	before  rules.Time // not to be written later; 0: any time
+	frame   func()     // writes it, once the connection is up
 }
 
 // NewFleet returns a fleet without members. Attempts' ends go to the ender.
@@ -180,27 +182,68 @@
 		f.ender.Ended(h, director.Ending{Result: rules.Moot})
 		return
 	}
-	k := &call{h: h, id: q.Request.Ref, at: f.now(), known: q.Request.Known != ""}
+	k := &call{h: h, id: q.Request.Ref, at: f.now(), known: q.Request.Known, before: q.Before}
 	until := k.at + q.Patience
 	k.frame = func() { f.write(k, q, until) }
 	f.calls[h] = k
 	c.put(k)
 }
 
-// put gives an attempt to its connection, which writes it as soon as it is up.
+// put gives an attempt to its connection, which writes it as soon as it is up and nothing is held.
 func (c *conn) put(k *call) {
 	if len(c.open) == 0 && c.link != nil {
 		k.gap = c.f.now() - c.rested
 	}
 	k.c, c.open[k.id], c.used = c, k, c.f.now()
 	c.f.agenda.Drop(&c.idle)
-	if c.link == nil {
+	if c.link == nil || c.f.held {
 		c.line = append(c.line, k)
 		return
 	}
 	k.frame()
 }
 
+// flush writes what has waited for the connection, or for the end of a hold. What was given up meanwhile is not sent.
+func (c *conn) flush() {
+	line := c.line
+	c.line = nil
+	for _, k := range line {
+		if c.open[k.id] == k && !c.closed {
+			k.frame()
+		}
+	}
+}
+
+// Hold keeps what waits from being written, until Release: the process stood still, and what would call it off may
+// be unread yet.
+func (f *Fleet) Hold() { f.held = true }
+
+// Release writes what has waited.
+func (f *Fleet) Release() {
+	f.held = false
+	var waiting []*conn
+	f.conns.All(func(_ director.Handle, c *conn) bool {
+		if c.link != nil && len(c.line) > 0 {
+			waiting = append(waiting, c)
+		}
+		return true
+	})
+	for _, c := range waiting {
+		c.flush()
+	}
+}
+
+// Recall gives up an attempt of which nothing has been written; false: some may have been, and it goes on.
+func (f *Fleet) Recall(h director.Handle) bool {
+	k := f.calls[h]
+	if k == nil || k.written {
+		return false
+	}
+	f.drop(k)
+	k.c.rest()
+	return true
+}
+
 // pick is the connection for an attempt: one that has nothing open, the latest used first; else a new one, up
 // to the peer's share; else the one with the least open. A spoilt answer or a reset ends all that is open on its
 // connection, so attempts share one only where connections run short. What must not run twice takes a new one
@@ -212,7 +255,12 @@
 			best = c
 		}
 	}
-	if best != nil && ((len(best.open) == 0 && !once) || len(p.conns) >= f.limits.ConnsPerPeer) {
+	full := len(p.conns) >= f.limits.ConnsPerPeer
+	if once && full && best != nil && len(best.open) == 0 && best.link != nil {
+		best.shut() // a new one takes its place
+		best, full = nil, false
+	}
+	if best != nil && ((len(best.open) == 0 && !once) || full) {
 		return best
 	}
 	if best != nil && !p.pace.May(f.now(), len(p.conns), p.opening()) {
@@ -247,13 +295,14 @@
 	return c.used > o.used
 }
 
-// usable tells whether a connection can take an attempt under an id. One on which the id was given up, or has
-// just been answered, can't: a late answer or a second copy could not be told from the new one's. Nor can a
+// usable tells whether a connection can take an attempt under an id. One on which the id was given up, or was
+// answered but not well, can't: a late answer or a second copy could not be told from the new one's. Nor can a
 // silent one: a machine that has vanished leaves its connections open, and a new dial proves whether it is
-// there. A silent one that has nothing left open is of no more use and is closed.
+// there. A silent one that has nothing left open is of no more use and is closed. Nor can one that has not taken
+// all that was written: what comes behind would leave when the peer likes, past whatever calls it off.
 func (c *conn) usable(id string) bool {
 	f, now := c.f, c.f.now()
-	if _, taken := c.open[id]; taken || c.spent || c.closed || len(c.open) >= f.limits.StreamsPerConn || c.last == id {
+	if _, taken := c.open[id]; taken || c.spent || c.closed || len(c.open) >= f.limits.StreamsPerConn {
 		return false
 	}
 	if at, ghost := c.ghosts[id]; ghost && now-at <= f.limits.PeerGhost {
@@ -271,16 +320,38 @@
 		}
 		return false
 	}
-	if c.link != nil && c.link.OutboundBuffered() > f.limits.PeerBacklog {
+	if c.link != nil && c.link.OutboundBuffered() > 0 {
 		f.Counters.Backlogged++
 		return false
 	}
 	return true
 }
 
+// room tells whether another dial keeps within the descriptors that peers may hold. Where it does not, the connection
+// that has been idle for the longest is closed, so that peers met before can't shut others out. Its descriptor is
+// free only when the loop comes round: DialRoom bounds how many are on their way.
+func (f *Fleet) room() bool {
+	if f.files+2 <= f.limits.PeerConns {
+		return true
+	}
+	var eldest *conn
+	f.conns.All(func(_ director.Handle, c *conn) bool {
+		if c.link != nil && len(c.open) == 0 && (eldest == nil || c.rested < eldest.rested) {
+			eldest = c
+		}
+		return true
+	})
+	if eldest == nil || f.files+2 > f.limits.PeerConns+f.limits.DialRoom {
+		return false
+	}
+	f.Counters.MadeRoom++
+	eldest.shut()
+	return true
+}
+
 // dial opens a connection, unless that could take more descriptors than peers may hold.
 func (f *Fleet) dial(p *peer) *conn {
-	if f.files+2 > f.limits.PeerConns {
+	if !f.room() {
 		return nil
 	}
 	c := &conn{f: f, p: p, open: map[string]*call{}, ghosts: map[string]rules.Time{}}
@@ -299,6 +370,13 @@
 
 // write puts an attempt on its connection. From here on it may run.
 func (f *Fleet) write(k *call, q director.Call, until rules.Time) {
+	if k.before != 0 && f.now() >= k.before {
+		f.Counters.Expired++
+		f.drop(k)
+		f.ender.Ended(k.h, director.Ending{Result: rules.Moot}) // it never ran
+		k.c.rest()
+		return
+	}
 	r := q.Request
 	b := appendBulk(appendBulk(appendArray(f.head[:0], 4), "REQ"), r.Ref)
 	fields := appendFields(nil, q, until-f.now())
@@ -382,7 +460,7 @@
 	return true
 }
 
-// ghost looks out for an answer that crosses the STOP of its attempt.
+// ghost looks out for an answer that crosses the STOP of its attempt, or that comes behind the first one.
 func (c *conn) ghost(id string) {
 	now := c.f.now()
 	if len(c.ghosts) >= 4*c.f.limits.StreamsPerConn {
@@ -406,7 +484,7 @@
 	}
 }
 
-// Opened is the end of a dial. What was given up meanwhile is not sent.
+// Opened is the end of a dial.
 func (c *conn) Opened(link loop.Conn) {
 	c.f.files--
 	c.link, c.up, c.rested = link, c.f.now(), c.f.now()
@@ -415,12 +493,8 @@
 		link.Close()
 		return
 	}
-	line := c.line
-	c.line = nil
-	for _, k := range line {
-		if c.open[k.id] == k && !c.closed {
-			k.frame()
-		}
+	if !c.f.held {
+		c.flush()
 	}
 	c.rest()
 }
@@ -592,12 +666,10 @@
 	k := c.open[a.id]
 	if k == nil || !k.written {
 		f.Counters.Late++
-		delete(c.ghosts, a.id)
 		a.body.Release()
 		return
 	}
 	f.Counters.Answers++
-	c.last = a.id
 	c.served++
 	f.bore(k)
 	f.drop(k)
@@ -607,6 +679,9 @@
 		a.body.Release()
 		e = director.Ending{Result: rules.Errored}
 	}
+	if e.Result != rules.OK {
+		c.ghost(k.id) // a request that was served does not come again
+	}
 	f.ender.Ended(k.h, e)
 	c.rest()
 }
@@ -633,12 +708,16 @@
 		return director.Ending{}, errAnswer
 	}
 	e := director.Ending{Result: result, Same: a.word == "SAME", Body: a.body}
-	if e.Same && (!k.known || a.body.Len() > 0) {
+	if e.Same && (k.known == "" || a.body.Len() > 0) {
 		return director.Ending{}, errAnswer
 	}
 	if a.fields == "" || a.fields == "-" {
+		if e.Same {
+			return director.Ending{}, errAnswer
+		}
 		return e, nil
 	}
+	named := false // the client's copy, by its tag
 	for pair := range strings.SplitSeq(a.fields, ",") {
 		name, value, ok := strings.Cut(pair, "=")
 		if !ok {
@@ -657,8 +736,13 @@
 			e.Waited = time.Duration(ms * float64(time.Millisecond))
 		case "l":
 			e.Report = f.report(value)
+		case "rev":
+			named = value == k.known
 		}
 	}
+	if e.Same && !named { // nobody has called the copy current that the client has
+		return director.Ending{}, errAnswer
+	}
 	return e, nil
 }
 
--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -36,7 +36,7 @@
 
 func newBench() *bench {
 	b := &bench{clock: 1000 * time.Second, ends: map[director.Handle]rules.Result{}}
-	l := &config.Limits{PeerConns: 8, StreamsPerConn: 2, PeerIdle: 10 * time.Second, PeerKeepLeast: 50 * time.Millisecond, PeerGhost: 5 * time.Second, PeerSilence: time.Second, PeerBacklog: 1000,
+	l := &config.Limits{PeerConns: 8, StreamsPerConn: 2, PeerIdle: 10 * time.Second, PeerKeepLeast: 50 * time.Millisecond, PeerGhost: 5 * time.Second, PeerSilence: time.Second,
 		AnswerBody: 100, AnswerFields: 100}
 	s := &rules.Settings{Report: rules.ReportSettings{Fields: []string{"active", "x1"}}}
 	b.f = NewFleet(l, s, buffer.NewPool(64, 64), b, b, &b.agenda, func() rules.Time { return b.clock }, zap.NewNop(), 1)
--- /dev/null
+++ b/internal/caches/crossings_test.go
@@ -0,0 +1,163 @@
+package caches
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"shaleyard/internal/director"
+	"shaleyard/internal/nettest"
+	"shaleyard/rules"
+)
+
+// What waits for a dial and is taken back is never written, however late the dial comes up; what was written goes on.
+func TestRecalledAttemptIsNeverWritten(t *testing.T) {
+	b := newBench()
+	b.f.limits.ConnsPerPeer = 2
+	b.send(1, "r1")
+	b.send(2, "r2")
+	up, late := &nettest.Link{}, &nettest.Link{}
+	b.dials[0].Opened(up)
+	if b.f.Recall(1) {
+		t.Error("what was written was taken back")
+	}
+	if !b.f.Recall(2) {
+		t.Error("what waits for its dial was not taken back")
+	}
+	b.dials[1].Opened(late)
+	if up.Text.Len() == 0 || late.Text.Len() != 0 {
+		t.Errorf("%d bytes on the first connection, %d on the second; want some and none", up.Text.Len(), late.Text.Len())
+	}
+	b.dials[0].Data([]byte(bulk("r1", "OK", "-", "x")))
+	b.want(t, map[director.Handle]rules.Result{1: rules.OK})
+}
+
+// While all is held, a dial that comes up, and one that fails beside a connection that works, write nothing: what
+// would call the attempts off is unread yet.
+func TestNothingIsWrittenWhileHeld(t *testing.T) {
+	b := newBench()
+	b.f.limits.ConnsPerPeer, b.f.limits.StreamsPerConn = 2, 10
+	b.send(1, "r1")
+	b.send(2, "r2")
+	b.send(3, "r3") // shares the first
+	l := &nettest.Link{}
+	b.f.Hold()
+	b.dials[0].Opened(l)
+	b.dials[1].Failed(errors.New("refused"))
+	if l.Text.Len() != 0 {
+		t.Fatalf("written while held: %q", l.Text.String())
+	}
+	b.f.Recall(1)
+	b.f.Release()
+	if got := b.f.Counters.Sent; got != 2 {
+		t.Errorf("%d attempts written after the hold, want the two that were not taken back", got)
+	}
+}
+
+// A repeat whose window ends while it waits for its connection would be a second run: it is not written, and never ran.
+func TestRepeatOutsideItsWindowIsNotWritten(t *testing.T) {
+	for _, c := range []struct {
+		after time.Duration
+		sent  bool
+	}{{400 * time.Millisecond, true}, {500 * time.Millisecond, false}} {
+		b := newBench()
+		b.f.Send(1, 1, director.Call{Request: &director.Request{Ref: "r1"}, Patience: 2 * time.Second,
+			Before: b.clock + 500*time.Millisecond})
+		b.clock += c.after
+		l := &nettest.Link{}
+		b.dials[0].Opened(l)
+		if got := l.Text.Len() > 0; got != c.sent {
+			t.Errorf("dial up after %v: written %v, want %v", c.after, got, c.sent)
+		}
+		want := map[director.Handle]rules.Result{}
+		if !c.sent {
+			want[1] = rules.Moot
+		}
+		b.want(t, want)
+	}
+}
+
+// A second copy of an answer may come some time after the first, and others between them. Had the next attempt of that
+// request gone over the same connection, the copy would say of a repayment that is out that it never ran.
+func TestSecondAnswerMeetsNoLaterAttempt(t *testing.T) {
+	b := newBench()
+	b.send(1, "r1")
+	b.dials[0].Opened(&nettest.Link{})
+	b.dials[0].Data([]byte(bulk("r1", "BUSY", "-", "")))
+	b.send(2, "r2")
+	b.dials[0].Data([]byte(bulk("r2", "OK", "-", "x"))) // so that r1 is no longer the latest id
+	b.send(3, "r1")
+	if len(b.dials) != 2 {
+		t.Fatalf("%d dials: the second attempt of r1 is where its first was answered", len(b.dials))
+	}
+	b.dials[1].Opened(&nettest.Link{})
+	b.dials[0].Data([]byte(bulk("r1", "BUSY", "-", ""))) // the copy
+	b.want(t, map[director.Handle]rules.Result{1: rules.Refused, 2: rules.OK})
+	b.clock += b.f.limits.PeerGhost + 1
+	b.dials[1].Data([]byte(bulk("r1", "BUSY", "-", "")))
+	b.send(4, "r1")
+	if b.f.calls[4].c != b.dials[0] {
+		t.Error("a connection is passed over for good, though no copy can come any more")
+	}
+}
+
+// Bytes that the peer has not taken stand before all that comes behind them: it would leave when the peer likes.
+func TestConnectionThatTakesNothingGetsNothingNew(t *testing.T) {
+	b := newBench()
+	b.send(1, "r1")
+	b.dials[0].Opened(&nettest.Link{Unread: 1})
+	b.send(2, "r2")
+	if len(b.dials) != 2 {
+		t.Errorf("%d dials, want a second one", len(b.dials))
+	}
+}
+
+// Where idle connections hold all descriptors, the one that was idle for the longest makes room; those in use stay.
+func TestLongestIdleMakesRoomForADial(t *testing.T) {
+	b := newBench()
+	b.f.limits.ConnsPerPeer, b.f.limits.PeerConns, b.f.limits.DialRoom = 8, 4, 2
+	links := []*nettest.Link{{}, {}, {}}
+	for i, l := range links {
+		h := director.Handle(i + 1)
+		b.send(h, "r"+string(rune('1'+i)))
+		b.dials[i].Opened(l)
+	}
+	b.dials[1].Data([]byte(bulk("r2", "OK", "-", "x")))
+	b.clock += time.Millisecond
+	b.dials[2].Data([]byte(bulk("r3", "OK", "-", "x")))
+	b.f.Join(2, "c2", "a2", 0)
+	b.f.Send(4, 2, director.Call{Request: &director.Request{Ref: "r4"}, Patience: time.Second})
+	if len(b.dials) != 4 {
+		t.Fatalf("%d dials: another peer's idle connections shut c2 out", len(b.dials))
+	}
+	if links[0].Closed || !links[1].Closed || links[2].Closed {
+		t.Errorf("closed %v, %v, %v; want the longest idle one alone", links[0].Closed, links[1].Closed, links[2].Closed)
+	}
+}
+
+// Where the peer's share is used up, what must not run twice takes the place of an idle connection, not the connection
+// itself: the peer's close may be on its way.
+func TestOnceTakesTheIdleOnesPlace(t *testing.T) {
+	b := newBench()
+	b.f.limits.ConnsPerPeer = 1
+	b.send(1, "r1")
+	l := &nettest.Link{}
+	b.dials[0].Opened(l)
+	b.dials[0].Data([]byte(bulk("r1", "OK", "-", "x")))
+	b.f.Send(2, 1, director.Call{Request: &director.Request{Ref: "r2"}, Patience: time.Second, Once: true})
+	if len(b.dials) != 2 || !l.Closed || b.f.Conns() != 1 {
+		t.Errorf("%d dials, idle one closed %v, %d connections; want 2, true, 1", len(b.dials), l.Closed, b.f.Conns())
+	}
+}
+
+// A copy is called current only where the cache names the copy that the client has.
+func TestCurrentMeansTheClientsOwnCopy(t *testing.T) {
+	for fields, want := range map[string]rules.Result{"rev=tag1,since=1": rules.OK, "rev=tag2,since=1": rules.Errored,
+		"since=1": rules.Errored, "-": rules.Errored} {
+		b := newBench()
+		b.f.Send(1, 1, director.Call{Request: &director.Request{Ref: "r1", Known: "tag1"}, Patience: time.Second})
+		b.dials[0].Opened(&nettest.Link{})
+		b.dials[0].Data([]byte(bulk("r1", "SAME", fields, "")))
+		b.want(t, map[director.Handle]rules.Result{1: want})
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -57,6 +57,7 @@
 
 	// Caches, parents, origin.
 	PeerConns      int           // descriptors that dialled connections may hold
+	DialRoom       int           // beyond those: for dials that take the place of idle ones, until these are closed
 	ConnsPerPeer   int           // connections to one peer, before attempts share them
 	StreamsPerConn int           // attempts open on one connection
 	ConnectTimeout time.Duration // a connection not up by then has failed
@@ -64,7 +65,6 @@
 	PeerKeepLeast  time.Duration // connections idle for less are used again, whatever resets teach
 	PeerSilence    time.Duration // asked and silent for so long, a connection takes nothing new
 	PeerGhost      time.Duration // an answer that crosses a STOP is looked out for so long
-	PeerBacklog    int           // bytes a peer may leave unread
 	AnswerBody     int           // bytes of an object
 	AnswerFields   int           // bytes of an answer's fields
 
@@ -91,7 +91,8 @@
 
 	// Pauses of the process.
 	PauseLimit  time.Duration // a loop that has not run for so long was paused
-	PauseSettle time.Duration // and then reads what has come for so long before it acts
+	PauseSettle time.Duration // and then reads what has come for a tenth of that, and so long at most, before it acts
+	PauseLong   time.Duration // behind a longer pause, work is let in as after a start
 
 	// Logs.
 	ReportEvery time.Duration // all counters are logged so often, so that a fleet can be counted from its logs
@@ -238,6 +239,7 @@
 		Overdue:       25 * time.Millisecond,
 
 		PeerConns:      sockets - sockets/3 - reserve,
+		DialRoom:       8,
 		ConnsPerPeer:   min(max((sockets-sockets/3-reserve)/8, 1), 32),
 		StreamsPerConn: 100,
 		ConnectTimeout: time.Second,
@@ -245,7 +247,6 @@
 		PeerKeepLeast:  50 * time.Millisecond,
 		PeerSilence:    time.Second,
 		PeerGhost:      5 * time.Second,
-		PeerBacklog:    1 << 20,
 		AnswerBody:     240_000,
 		AnswerFields:   4 << 10,
 
@@ -265,8 +266,9 @@
 		DrainCheck:  5 * time.Millisecond,
 		DrainMost:   longest + 650*time.Millisecond,
 
-		PauseLimit:  300 * time.Millisecond, // well under the time to heed a purge, well over the router's tick
+		PauseLimit:  80 * time.Millisecond, // under the time in which a client's leaving must be heeded, over the router's tick
 		PauseSettle: 30 * time.Millisecond,
+		PauseLong:   300 * time.Millisecond, // well under the time to heed a purge
 
 		ReportEvery: 5 * time.Second,
 	}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -106,7 +106,7 @@
 		{"list.retry_ms", &o.List.RetryMS, 10, 60_000, func(l *Limits) *time.Duration { return &l.FeedRetry }},
 		{"list.silence_ms", &o.List.SilenceMS, 1_050, 60_000, func(l *Limits) *time.Duration { return &l.FeedSilence }},
 		{"list.wait_ms", &o.List.WaitMS, 1, 600_000, func(l *Limits) *time.Duration { return &l.FeedWait }},
-		{"pause.limit_ms", &o.Pause.LimitMS, 100, 60_000, func(l *Limits) *time.Duration { return &l.PauseLimit }},
+		{"pause.limit_ms", &o.Pause.LimitMS, 60, 60_000, func(l *Limits) *time.Duration { return &l.PauseLimit }},
 		{"pause.settle_ms", &o.Pause.SettleMS, 1, 1_000, func(l *Limits) *time.Duration { return &l.PauseSettle }},
 		{"log.counters_every_ms", &o.Log.CountersEvery, 100, 3_600_000, func(l *Limits) *time.Duration { return &l.ReportEvery }},
 	}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -64,15 +64,21 @@
 	Keep     uint8
 	How      rules.How
 	MaxAge   time.Duration
-	Once     bool // must not run twice
+	Once     bool       // must not run twice
+	Before   rules.Time // not to be written later: it would be a repeat outside its window; 0: any time
 }
 
-// Peers reaches caches, parents and the origin. Each Send is followed by one Director.Ended, unless Stop
-// comes before it.
+// Peers reaches caches, parents and the origin. Each Send is followed by one Director.Ended, unless Stop, or a
+// Recall that succeeds, comes before it.
 type Peers interface {
 	Send(attempt Handle, to rules.Host, c Call)
 	// Stop gives an attempt up and tells whether any of it may have been written.
 	Stop(attempt Handle) (written bool)
+	// Recall gives an attempt up of which nothing has been written; one that may have been goes on (false).
+	Recall(attempt Handle) bool
+	// Hold keeps what has not been written from being written, until Release.
+	Hold()
+	Release()
 	Join(host rules.Host, name, address string, started rules.Time)
 	Leave(host rules.Host)
 }
@@ -99,6 +105,7 @@
 	Closed                                                   uint64 // refused, as no work was taken
 	NotAdmitted                                              uint64 // refused, as too much was in hand after a start
 	Attempts, Cancelled, Moot, Ended, LateEnds, TimedOut     uint64
+	Recalled                                                 uint64 // unwritten, and overtaken by news or by the client
 	MemberEvents, MemberEntries, PurgeEvents, UnknownActions uint64
 	Results                                                  Results
 	Notes                                                    Notes
@@ -145,12 +152,19 @@
 
 	requests *Table[*request]
 	attempts *Table[*attempt]
-	names    map[rules.Host]string
+	names    map[rules.Host]member
+	last     rules.Time // when all is to be answered, as the program ends; 0: it goes on
 	queue    []event
 	busy     bool
 	held     bool // only news are taken; all else waits in the queue
 }
 
+// member is what is kept of an entry of the list.
+type member struct {
+	name    string
+	started rules.Time
+}
+
 type request struct {
 	Request
 	handle  Handle
@@ -168,8 +182,9 @@
 type attempt struct {
 	req      Handle
 	no       int
-	host     rules.Host
+	host, up rules.Host // up: the source; 0: none
 	sent     rules.Time
+	until    rules.Time // when it is given up
 	deadline Entry
 }
 
@@ -188,7 +203,7 @@
 	}
 	return &Director{router: r, settings: s, limits: l, agenda: agenda, now: now, log: log,
 		requests: NewTable[*request](l.OpenRequests), attempts: NewTable[*attempt](maxSlots),
-		names: map[rules.Host]string{}}, nil
+		names: map[rules.Host]member{}}, nil
 }
 
 // Follow sets what is done when whole sites are lost; it comes before the first event.
@@ -212,6 +227,9 @@
 	}
 	now := d.now()
 	r.handle, r.giveUp, r.since = h, now+q.Allow, now
+	if d.last != 0 {
+		r.giveUp = min(r.giveUp, max(d.last, now))
+	}
 	d.Counters.Taken++
 	if wait, ok := d.admit(now, q.Class); !ok {
 		d.answer(r, Answer{Verdict: Refused, RetryAfter: d.cooldown(wait)})
@@ -219,13 +237,7 @@
 		return h, true
 	}
 	r.let = true
-	// The module ends each request by its time; this only guards the rule of one answer against a fault.
-	d.agenda.Set(&r.overdue, r.giveUp+d.limits.Overdue, func() {
-		d.Counters.Overdue++
-		d.log.Error("request overdue: failed by the guard", zap.String("ref", r.Ref))
-		d.answer(r, Answer{Verdict: Failed})
-		d.post(event{rules.Expired{ID: uint32(h)}, r})
-	})
+	d.guard(r)
 	write := q.Class < len(d.settings.Family.PassOn) && d.settings.Family.PassOn[q.Class]
 	d.post(event{ev: rules.Request{ID: uint32(h), Class: q.Class, Object: q.Key, Part: q.PartNo,
 		Group: q.Group, GiveUpAt: r.giveUp, SizeKB: q.SizeKB, Write: write}})
@@ -257,7 +269,19 @@
 	return max(0, min(wait, d.settings.Ceilings.MaxRetryAfter))
 }
 
-// Withdraw ends a request whose client no longer waits: no answer is owed.
+// guard fails a request past its time. The module ends each by then; this only guards the rule of one answer
+// against a fault.
+func (d *Director) guard(r *request) {
+	d.agenda.Set(&r.overdue, r.giveUp+d.limits.Overdue, func() {
+		d.Counters.Overdue++
+		d.log.Error("request overdue: failed by the guard", zap.String("ref", r.Ref))
+		d.answer(r, Answer{Verdict: Failed})
+		d.post(event{rules.Expired{ID: uint32(r.handle)}, r})
+	})
+}
+
+// Withdraw ends a request whose client no longer waits: no answer is owed. What waits to be written for it is
+// taken back at once, also while all else is held: the client has gone, and nothing may be begun for it.
 func (d *Director) Withdraw(h Handle) {
 	r, ok := d.requests.Get(h)
 	if !ok || r.over {
@@ -265,9 +289,58 @@
 	}
 	d.Counters.Withdrawn++
 	d.finish(r)
+	d.recall(func(a *attempt, of *request) bool { return of == r })
 	d.post(event{rules.Expired{ID: uint32(h)}, r})
 }
 
+// EndBy has everything answered by a time, as the program ends soon after: what is in hand, and what is still
+// taken. Who waits longer than that for a cache that hangs would be left without an answer.
+func (d *Director) EndBy(last rules.Time) {
+	d.last = last
+	var late []*request
+	d.requests.All(func(_ Handle, r *request) bool {
+		if !r.over && r.giveUp > last {
+			late = append(late, r)
+		}
+		return true
+	})
+	for _, r := range late {
+		r.giveUp = last
+		d.guard(r)
+		for _, h := range r.out {
+			if a, ok := d.attempts.Get(h); ok {
+				a.until = min(a.until, last)
+				d.limit(h, a, r)
+			}
+		}
+		d.post(event{ev: rules.Curtail{ID: uint32(r.handle), GiveUpAt: last}})
+	}
+}
+
+// recall takes back the attempts of which nothing has been written and that something has overtaken since they were
+// decided: they may wait for a connection for longer than the rules leave. They never ran, and the router
+// decides anew.
+func (d *Director) recall(overtaken func(*attempt, *request) bool) {
+	type found struct {
+		h Handle
+		a *attempt
+		r *request
+	}
+	var list []found
+	d.attempts.All(func(h Handle, a *attempt) bool {
+		if r, ok := d.requests.Get(a.req); ok && overtaken(a, r) {
+			list = append(list, found{h, a, r})
+		}
+		return true
+	})
+	for _, f := range list {
+		if _, still := d.attempts.Get(f.h); still && d.peers.Recall(f.h) {
+			d.Counters.Recalled++
+			d.close(f.h, f.a, f.r, Ending{Result: rules.Moot})
+		}
+	}
+}
+
 const mostLogged = 8 // entries of one event
 
 // Members takes a change of the list of servers; full: what is not in it has gone.
@@ -275,6 +348,7 @@
 	d.Counters.MemberEvents++
 	m := rules.Members{Kind: rules.Delta, Version: version}
 	seen := map[rules.Host]bool{}
+	left := map[rules.Host]bool{} // draining, gone, or with a new life
 	if full {
 		m.Kind = rules.Full
 	}
@@ -286,14 +360,18 @@
 		e.Host = hostOf(e.Name)
 		seen[e.Host] = true
 		m.List = append(m.List, e.Member)
+		left[e.Host] = e.State != rules.Ready || d.names[e.Host] != member{e.Name, e.Started}
 		if e.State == rules.Gone {
 			delete(d.names, e.Host)
 			continue
 		}
-		d.names[e.Host] = e.Name
+		d.names[e.Host] = member{e.Name, e.Started}
 		d.peers.Join(e.Host, e.Name, e.Address, e.Started)
 	}
 	d.news(m)
+	d.recall(func(a *attempt, _ *request) bool {
+		return left[a.host] || left[a.up] || full && (!seen[a.host] || a.up != 0 && !seen[a.up])
+	})
 	for _, e := range m.List {
 		if e.State == rules.Gone {
 			d.peers.Leave(e.Host)
@@ -313,6 +391,9 @@
 func (d *Director) Purge(object uint64, group int, made rules.Time) {
 	d.Counters.PurgeEvents++
 	d.news(rules.Purge{Age: max(0, d.now()-made), Group: group, Object: object})
+	d.recall(func(_ *attempt, r *request) bool {
+		return r.Key == object || object == 0 && r.Group == group
+	})
 }
 
 // hostOf turns a member's name into the module's address. It hangs on the name alone: all directors must
@@ -349,17 +430,21 @@
 // Hold keeps everything but news from the router, until Release: behind a pause of the process what it believes of
 // the servers is old, and the news that would put it right are still to be read. Answers go to their clients all
 // the same.
-func (d *Director) Hold() { d.held = true }
+func (d *Director) Hold() {
+	d.held = true
+	d.peers.Hold()
+}
 
-// Release takes up what was held. What comes from now on is let in as after a start.
-func (d *Director) Release() {
+// Release takes up what was held. Behind a long pause what comes from now on is let in as after a start.
+func (d *Director) Release(long bool) {
 	d.held = false
-	if d.Admission != nil {
+	if d.Admission != nil && long {
 		d.Admission.Restart(d.now())
 	}
 	if !d.busy {
 		d.drain()
 	}
+	d.peers.Release()
 }
 
 // drain hands the queue to the router.
@@ -385,9 +470,9 @@
 		if up == a.Host {
 			up = 0
 		}
-		d.send(a.ID, a.Host, up, a.Timeout, Call{Keep: a.Keep, How: a.How, MaxAge: a.MaxAge})
+		d.send(a.ID, a.Host, up, a.Timeout, Call{Keep: a.Keep, How: a.How, MaxAge: a.MaxAge, Before: a.Before})
 	case rules.Forward:
-		d.send(a.ID, a.Host, 0, a.Timeout, Call{})
+		d.send(a.ID, a.Host, 0, a.Timeout, Call{Before: a.Before})
 	case rules.Cancel:
 		if r, ok := d.requests.Get(Handle(a.ID)); ok {
 			d.cancel(r, a.Attempt)
@@ -456,14 +541,14 @@
 		return
 	}
 	now := d.now()
-	a := &attempt{req: r.handle, no: r.next, host: host, sent: now}
+	a := &attempt{req: r.handle, no: r.next, host: host, up: up, sent: now}
 	r.next++
-	until := r.giveUp
+	a.until = r.giveUp
 	if timeout > 0 {
-		until = min(until, now+timeout)
+		a.until = min(a.until, now+timeout)
 	}
 	h, ok := Handle(0), false
-	if !r.over && until > now {
+	if !r.over && a.until > now {
 		h, ok = d.attempts.Add(a)
 	}
 	if !ok {
@@ -473,7 +558,18 @@
 	}
 	d.Counters.Attempts++
 	r.out[a.no] = h
-	d.agenda.Set(&a.deadline, until, func() {
+	d.limit(h, a, r)
+	c.Request, c.Patience = &r.Request, a.until-now
+	c.Once = d.settings.Services[r.Class].Effect == "non_idempotent"
+	if up != 0 {
+		c.Up = d.names[up].name
+	}
+	d.peers.Send(h, host, c)
+}
+
+// limit sets the time at which an attempt is given up.
+func (d *Director) limit(h Handle, a *attempt, r *request) {
+	d.agenda.Set(&a.deadline, a.until, func() {
 		d.Counters.TimedOut++
 		result := rules.TimedOut
 		if !d.peers.Stop(h) {
@@ -481,12 +577,6 @@
 		}
 		d.close(h, a, r, Ending{Result: result})
 	})
-	c.Request, c.Patience = &r.Request, until-now
-	c.Once = d.settings.Services[r.Class].Effect == "non_idempotent"
-	if up != 0 {
-		c.Up = d.names[up]
-	}
-	d.peers.Send(h, host, c)
 }
 
 // cancel gives an attempt up. One of which nothing was written provably never ran.
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -25,6 +25,8 @@
 	stopped []Handle
 	answers []string
 	onSend  func(Handle) // a peer that ends attempts within Send
+	recall  func(Handle) bool
+	held    bool
 }
 
 type sent struct {
@@ -40,6 +42,9 @@
 	}
 }
 func (b *bench) Stop(h Handle) bool                          { b.stopped = append(b.stopped, h); return b.written }
+func (b *bench) Recall(h Handle) bool                        { return b.recall != nil && b.recall(h) }
+func (b *bench) Hold()                                       { b.held = true }
+func (b *bench) Release()                                    { b.held = false }
 func (b *bench) Join(rules.Host, string, string, rules.Time) {}
 func (b *bench) Leave(rules.Host)                            {}
 func (b *bench) Reply(_ uint64, a Answer) {
@@ -59,7 +64,8 @@
 		Services: []rules.Class{{Name: "read", Aim: time.Second, Deadline: 4 * time.Second, Effect: "read_like"},
 			{Name: "pay", Aim: time.Second, Deadline: 4 * time.Second, Effect: "non_idempotent"}},
 		Ceilings: rules.Ceilings{Cancel: true, MaxAttempts: 3},
-		Family:   rules.Tiers{PassOn: []bool{false, true}, MasterKind: 2, SecondTierKind: 1, NotesGiven: "all"}}
+		Family:   rules.Tiers{PassOn: []bool{false, true}, MergesFills: true, MasterKind: 2, SecondTierKind: 1,
+			NotesGiven: "all"}}
 	var err error
 	b.d, err = New(s, 1, &config.Limits{OpenRequests: 8, Overdue: 25 * time.Millisecond}, &b.agenda, func() rules.Time { return b.clock }, zap.NewNop())
 	if err != nil {
@@ -194,7 +200,7 @@
 	b.d.Members(false, 2, []Member{
 		{Name: "c1", Member: rules.Member{Zone: 1, Kind: 0, State: rules.Draining, Weight: 4}},
 		{Name: "c2", Member: rules.Member{Zone: 1, Kind: 0, State: rules.Ready, Weight: 4}}})
-	b.d.Release()
+	b.d.Release(true)
 	if len(b.sent) != 1 || b.sent[0].to != hostOf("c2") {
 		t.Fatalf("sent %v, want one to the cache that is ready", b.sent)
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -83,7 +83,7 @@
 	// from the processor. 0: pauses are not looked for. Something must be due on the Agenda more often than that.
 	PauseLimit time.Duration
 	// Settle is how long deadlines wait behind a pause, so that what has come meanwhile is read before they fall
-	// due, all at once.
+	// due, all at once; a tenth of the pause, where that is less.
 	Settle time.Duration
 	// Paused is told of a pause before anything else happens, Settled when deadlines run again.
 	Paused  func(gap time.Duration)
@@ -406,7 +406,7 @@
 	now := l.Now()
 	gap := now - l.seen
 	if l.PauseLimit > 0 && l.seen != 0 && gap > l.PauseLimit {
-		l.rests = now + l.Settle
+		l.rests = now + min(l.Settle, gap/10)
 		l.Paused(gap)
 	}
 	l.seen = now
--- a/rules/api.go
+++ b/rules/api.go
@@ -177,7 +177,7 @@
 	NoteOriginFailed
 )
 
-// Event is one of Members, Request, Started, Outcome, Expired, Timer, ProbeResult, PeerMessage, Purge.
+// Event is one of Members, Request, Curtail, Started, Outcome, Expired, Timer, ProbeResult, PeerMessage, Purge.
 type Event any
 
 // Members brings news of the list of servers.
@@ -258,6 +258,7 @@
 	ID      uint32
 	Host    Host
 	Timeout time.Duration
+	Before  Time // not to be written later, as the window for repeats has ended then; 0: any time
 }
 
 // How is a set of switches of a Fetch.
@@ -271,6 +272,12 @@
 	Renew         How = 8 // serve an ageing copy and fetch it anew behind
 )
 
+// Curtail brings the time by which a request is to be ended forward.
+type Curtail struct {
+	ID       uint32
+	GiveUpAt Time
+}
+
 // Fetch asks a host, and says where a miss is filled from.
 type Fetch struct {
 	ID      uint32
@@ -280,6 +287,7 @@
 	How     How
 	Timeout time.Duration // 0: until the client gives up
 	MaxAge  time.Duration // 0: the class's fresh time
+	Before  Time          // not to be written later, as the window for repeats has ended then; 0: any time
 }
 
 // Cancel calls an attempt off.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -46,6 +46,7 @@
 	paceSlack  = 0.7                    // pace, over that of the faster third, that is taken for chance
 	paceShun   = 2.0                    // power by which pace lowers a weight: late answers earn little
 	carryOver  = 4 * time.Second        // time constant of the work a host carries for us
+	wayRoom    = 50 * time.Millisecond  // of a window for repeats that is left for the way: the rules' slack
 )
 
 // New returns a router for the settings, or an error that names the field that cannot work.
@@ -59,8 +60,8 @@
 		cur: map[objectPart]*entry{}, prev: map[objectPart]*entry{},
 		purges: map[purgeKey]purge{}, shield: pacing.NewShield(s.Balancers),
 		sites: siteview.New(siteview.Config{Names: s.Zones, Own: s.Zone, Hub: s.Family.HubByZone[s.Zone]})}
-	for _, c := range s.Services {
-		aim := c.Aim.Seconds() // of which sending is a part, or nothing would be in time
+	for _, c := range s.Services { // sending is a part of the aim, or nothing would be in time
+		aim := c.Aim.Seconds()
 		d.classes = append(d.classes, classStats{pacing.Guess(aim * guessWork), pacing.Guess(aim)})
 	}
 	return d, nil
@@ -80,9 +81,7 @@
 	case Members:
 		d.members(e)
 	case Request:
-		if e.Class < 0 || e.Class >= len(d.s.Services) {
-			e.Class = 0
-		}
+		e.Class = min(max(e.Class, 0), len(d.s.Services)-1)
 		r := &request{Request: e, since: now, held: d.use(objectPart{e.Object, e.Part})}
 		if f := d.s.Family.FlowKBPerS; f > 0 {
 			r.told = e.SizeKB / f
@@ -102,6 +101,10 @@
 		if r := d.reqs[e.ID]; r != nil {
 			d.forget(r)
 		}
+	case Curtail:
+		if r := d.reqs[e.ID]; r != nil {
+			r.GiveUpAt = min(r.GiveUpAt, e.GiveUpAt)
+		}
 	case Timer:
 		switch r := d.reqs[uint32(e.Token)]; {
 		case e.Token == tickTimer:
@@ -228,9 +231,8 @@
 	d.do(SetTimer{Token: requestTimer | uint64(r.ID), At: min(d.now+wait, r.GiveUpAt)})
 }
 
-// route tries the ordinary path and then its departures; it tells whether an attempt has left. What is never
-// kept goes to the origin, straight or through a cache. Past a cache at its limit, or swamped while another
-// is not, the next in rank is asked that is not slow and far from that. Harm: objects are filled once more.
+// route tries the ordinary path and its departures; it tells whether an attempt has left. Past a cache at its
+// limit, or swamped while another is not, the next in rank is asked that is not slow. Harm: one fill more.
 func (d *Router) route(r *request) bool {
 	d.rank(d.caches, r.Object)
 	d.rank(d.upper, r.Object)
@@ -257,9 +259,8 @@
 	return d.bypass(r, last)
 }
 
-// fill asks a cache, with the source that the tiers give: sibling, parent, origin. A source at its limit is
-// passed over; where all are, the cache is asked once for what it holds, and the request waits. Where the
-// origin is crowded, or by the plan, a part of the requests gets what parents hold and is refused the rest.
+// fill asks a cache, with the tiers' source: sibling, parent, origin. One at its limit is passed over; where
+// all are, the cache is asked once for what it holds. By a crowded origin some get only what parents hold.
 func (d *Router) fill(r *request, t *server) bool {
 	if s := d.sibling(r, t); (s != nil && d.send(r, t, s)) || d.askMasters(r) {
 		return true
@@ -290,8 +291,8 @@
 	return d.send(r, t, nil)
 }
 
-// bypass goes straight to a parent, or up to the origin, where the site and their limits allow it: where no
-// cache may be asked, or (parents only) the one picked has all it can answer in time. Harm: nothing is kept.
+// bypass goes straight to a parent or the origin, where site and limits allow it: where no cache may be
+// asked, or (parents only) the one picked has all it can answer in time. Harm: nothing is kept.
 func (d *Router) bypass(r *request, last role) bool {
 	for _, s := range d.upper {
 		master := d.upper[len(d.upper)-1]
@@ -323,8 +324,7 @@
 	return r.tier <= parent && !r.passOn && (!p.ejected || d.mayLook(p))
 }
 
-// sibling is the source of the ordinary path, the table's other holder; or the far cache that a master
-// named.
+// sibling is the ordinary path's source: the table's other holder; or the far cache that a master named.
 func (d *Router) sibling(r *request, target *server) *server {
 	if r.tier > edge || r.passOn || (d.s.Family.Lateral != "location" && d.s.Family.Lateral != "any") {
 		return nil
@@ -369,7 +369,7 @@
 	_, side := blamed(a)
 	side.load += work
 	a.load = side.load
-	get := Fetch{ID: r.ID, Host: t.Host, Source: t.Host, MaxAge: age}
+	get := Fetch{ID: r.ID, Host: t.Host, Source: t.Host, MaxAge: age, Before: r.before}
 	get.Keep = uint8(min(r.held.uses, 2)) // seen once, it must not push out what is asked for again
 	if f.MergesFills {
 		get.How |= JoinFill
@@ -390,28 +390,30 @@
 		get.Timeout = d.s.Services[r.Class].Aim / 2
 	}
 	if t.role == origin {
-		d.do(Forward{ID: r.ID, Host: t.Host, Timeout: get.Timeout})
+		d.do(Forward{ID: r.ID, Host: t.Host, Timeout: get.Timeout, Before: r.before})
 	} else {
 		d.do(get)
 	}
 	return true
 }
 
-// maySend is the effect rule: whether another attempt may go to t (nil: to any host at all).
+// maySend is the effect rule: whether another attempt may go to t (nil: to any host at all), and until when.
 func (d *Router) maySend(r *request, t *server) bool {
 	c := &d.s.Services[r.Class]
-	if c.Effect == "read_like" {
+	if r.before = 0; c.Effect == "read_like" {
 		return true
 	}
 	for _, a := range r.tries {
+		ends := a.sent + c.DedupWindow - min(wayRoom, c.DedupWindow/4)
 		switch {
 		case !a.mayRun:
-		case c.Effect != "idempotency_key" || d.now >= a.sent+c.DedupWindow:
-			return false
-		case t == nil:
-		case (c.Group == "zone" && t.Zone != a.target.Zone) || (c.Group == "cell" && t.Cell != a.target.Cell):
+			continue
+		case c.Effect != "idempotency_key" || d.now >= ends,
+			t != nil && c.Group == "zone" && t.Zone != a.target.Zone,
+			t != nil && c.Group == "cell" && t.Cell != a.target.Cell:
 			return false
 		}
+		r.before = cmp.Or(r.before, ends) // the first to be sent ends first
 	}
 	return true
 }
@@ -489,8 +491,7 @@
 	return full
 }
 
-// retryAfter is for how long a refused client is asked to stay away: as long as a request with no permitted
-// target waits here; longer, and what comes back comes too late. From a lost site: until a look.
+// retryAfter: a refused client stays away as requests wait here; from a lost site, until a look.
 func (d *Router) retryAfter() time.Duration {
 	if !d.s.Ceilings.RetryAfter {
 		return 0
@@ -795,8 +796,7 @@
 	s.backoff = min(2*s.backoff, ejectMost, d.sites.LookEvery())
 	s.until = d.now + s.backoff
 	for _, a := range slices.Concat(s.to.out, s.from.out) { // what may be sent again elsewhere is called off
-		r := d.reqs[a.id]
-		safe := d.s.Services[a.class].Effect == "read_like"
+		r, safe := d.reqs[a.id], d.s.Services[a.class].Effect == "read_like"
 		if r != nil && !r.stream && safe && len(r.tries) < d.s.Ceilings.MaxAttempts {
 			d.cancel(a)
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -722,6 +722,38 @@
 	}
 }
 
+// A repeat of a keyed request must have been written, with room for the way, before the window of the first attempt that
+// may have run has ended; the window is counted from that attempt, not from a later one, and not from one that
+// provably never ran.
+func TestRepeatIsBoundToTheFirstWindow(t *testing.T) {
+	w := simpleWorld(t, nil)
+	edgeA, org := w.r.servers[hostEdge], w.r.servers[hostOrigin]
+	r := &request{Request: Request{ID: 1, Class: 2, GiveUpAt: w.now + 2*time.Second}, passOn: true, held: &entry{},
+		tries: []*attempt{{target: edgeA, sent: w.now - 900*ms},
+			{target: edgeA, sent: w.now - 300*ms, mayRun: true}, {target: edgeA, sent: w.now - 100*ms, mayRun: true}}}
+	w.r.reqs[1], w.r.now, w.r.acts = r, w.now, nil
+	if !w.r.send(r, edgeA, org) {
+		t.Fatal("a repeat inside its window did not leave")
+	}
+	var before Time
+	for _, a := range w.r.acts {
+		if f, ok := a.(Fetch); ok {
+			before = f.Before
+		}
+	}
+	if want := w.now + 650*ms; before != want {
+		t.Errorf("to be written within %v, want %v", before-w.now, want-w.now)
+	}
+	w.r.now = before
+	if w.r.maySend(r, edgeA) {
+		t.Error("a repeat may leave with no room for the way")
+	}
+	r.Class, r.tries = 0, nil
+	if w.r.maySend(r, edgeA); r.before != 0 {
+		t.Error("a read is bound to a window")
+	}
+}
+
 // Found by hunt on a slow-origin day: fills that hang filled the cache's limit and shut out hits.
 func TestHangingFillsDoNotShutOutHits(t *testing.T) {
 	w := simpleWorld(t, func(s *Settings) { s.Family.BypassAllowed = false })
--- a/rules/state.go
+++ b/rules/state.go
@@ -95,6 +95,7 @@
 	copies          int       // second copies sent
 	far             Host      // the cache of another location that a master named
 	avoid           []*server // failed it as target
+	before          Time      // when its next attempt must have been written; 0: any time
 }
 
 type holder struct {
