End client connections by half-close and linger, and answer all before SIGKILL may come

A bad frame, a second use of a sequence number, or a message stuck for 2 s closed the connection (clients.Data, Session.watch) with all that was still owed on it: those requests were lost. The connection takes nothing more now, the answers go out, and it ends behind them. 2. Every close was a close(2): over unread bytes that is a reset, which takes with it what the client has not read of the last answer. Now our half is shut, what comes is read and dropped for 500 ms and 1 MB at most, and then it is closed. A request that crosses the half-close is not taken. 3. At the end of a planned stop the loop was told to end with requests still being read and sent on until it did (main.drained, Loop.Stop). The program now goes through running, stopping, parting, ended: from parting on, new work is refused at once, each connection is ended as soon as nothing is owed on it, and the loop is stopped only when none is left. 4. A connection that died under an answer to one request while another of it was being taken left that one without a client: it went on. It is withdrawn as soon as it has a handle. 6. The doorbell, a UDP socket, was taken for a client: gnet gives it an OnOpen against what our comment said. It took a place and was closed as silent after 2 s. 7. SIGTERM shared a channel of four with SIGHUP and SIGUSR1, and the runtime drops what has no room. Each kind has its own. 8. TCP_NODELAY is set on accepted sockets themselves, not only on the listener.

--- a/cmd/shaleyard/main.go
+++ b/cmd/shaleyard/main.go
@@ -67,7 +67,8 @@
 	feed     *feed.Follower
 	loop     *loop.Loop
 	started  rules.Time
-	stopping rules.Time // when SIGTERM came; 0: it has not
+	phase    phase
+	stopping rules.Time // when SIGTERM came
 	rejected uint64
 
 	reloads, reloadsFailed, pauses uint64
@@ -77,6 +78,17 @@
 	rejectLogAt rules.Time // no line on a rejected connection before
 }
 
+// phase is where the program is in its life; docs/lifecycles.md tells what each event does in each. It only goes
+// forward.
+type phase uint8
+
+const (
+	running  phase = iota
+	stopping       // SIGTERM has come: heartbeats are bad, work is taken on, as the front hears of it late
+	parting        // new work is refused; each connection is ended as soon as nothing is owed on it
+	ended          // the loop is told to end
+)
+
 // clock is the one clock: the system's Unix time, which every peer counts by, as the module's Time. It
 // never goes back, as the module's clock must not.
 type clock struct{ last rules.Time }
@@ -92,9 +104,8 @@
 		return fmt.Errorf("descriptors: %w", err)
 	}
 	// From here on no signal that the program knows ends it unasked, also while it starts.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	signals := listen()
+	defer signals.stop()
 	operator := &config.Operator{}
 	if path := getenv("SHALEYARD_CONFIG"); path != "" {
 		var err error
@@ -129,7 +140,7 @@
 		p.log.Info("listens on "+p.loop.Address(), zap.Int("descriptors", c.Limits.Descriptors),
 			zap.Int64("memory_mb", c.Limits.MemoryBytes>>20))
 		p.boot()
-		go p.obey(signals, load)
+		p.obey(signals, load)
 	}
 	err = p.loop.Run(c.Listen)
 	p.report()
@@ -175,11 +186,9 @@
 		follow.Plan = advice.Advise
 	}
 	p.director.Follow(follow)
-	if l.FeedStart > 0 {
-		p.director.Closed = p.closed
-	}
+	p.director.Closed = p.closed
 	p.clients = clients.NewServer(l, s, p.pool, p.director, &p.agenda, p.clock.now)
-	p.clients.Ready = p.ready
+	p.clients.Ready, p.clients.Rejected = p.ready, p.reject
 	calls := pacing.NewListCalls(pacing.ListBounds{Directors: s.Balancers, Me: int(s.Me), Heed: l.FeedHeed,
 		Purge: l.FeedPurge, Start: l.FeedStart, Late: l.FeedLate, Silence: l.FeedSilence, Call: l.FeedCall, Least: l.FeedRetry}, c.Seed)
 	p.feed = feed.New(l, s, c.Feed, calls, p.loop, p.director, &p.agenda, p.clock.now, p.log)
@@ -200,19 +209,40 @@
 	p.agenda.At(p.clock.now()+p.limits.ReportEvery, p.reportAgain)
 }
 
-// obey carries out signals.
-func (p *program) obey(signals <-chan os.Signal, load func() (*config.Config, error)) {
-	for s := range signals {
-		switch s {
-		case syscall.SIGUSR1:
-			p.loop.Do(p.report)
-		case syscall.SIGHUP:
-			c, err := load() // off the loop, which requests go on using
-			p.loop.Do(func() { p.reload(c, err) })
-		default:
-			p.loop.Do(p.stop)
+// signals are what the program is told from outside. The runtime drops a signal for which its channel has no room, so
+// that each kind has one of its own: one that is waiting stands for all of its kind, and a stop is never lost behind
+// others, whatever a reload takes to read its file.
+type signals struct{ end, reload, report chan os.Signal }
+
+// listen takes the signals from now on.
+func listen() signals {
+	s := signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	signal.Notify(s.end, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	signal.Notify(s.report, syscall.SIGUSR1)
+	return s
+}
+
+// stop leaves the signals to their defaults.
+func (s signals) stop() {
+	for _, c := range []chan os.Signal{s.end, s.reload, s.report} {
+		signal.Stop(c)
+	}
+}
+
+// obey carries out signals, each kind aside of the others.
+func (p *program) obey(s signals, load func() (*config.Config, error)) {
+	each := func(c <-chan os.Signal, do func()) {
+		for range c {
+			do()
 		}
 	}
+	go each(s.report, func() { p.loop.Do(p.report) })
+	go each(s.reload, func() {
+		c, err := load() // off the loop, which requests go on using
+		p.loop.Do(func() { p.reload(c, err) })
+	})
+	go each(s.end, func() { p.loop.Do(p.stop) })
 }
 
 // reload takes over a configuration that was read anew. Only the feed's address can change while the program
@@ -239,6 +269,9 @@
 type front struct{ p *program }
 
 func (f front) Accept(c loop.Conn) loop.Session {
+	if f.p.phase == ended {
+		return nil
+	}
 	if s := f.p.clients.Accept(c); s != nil {
 		return s
 	}
@@ -249,13 +282,17 @@
 // has been asked for. Purges and drains since the configuration was written count as told, so work is taken only
 // once they are on their way, though our turn to ask is up to the spread of the fleet's calls away.
 func (p *program) ready() bool {
-	return p.stopping == 0 && (p.feed.Reached() || p.clock.now()-p.started > p.limits.FeedWait)
+	return p.phase == running && (p.feed.Reached() || p.clock.now()-p.started > p.limits.FeedWait)
 }
 
-// closed tells whether work is refused because what the list service has to tell is not known yet, and until when
-// the client may as well stay away: each director's own turn to call, so that they don't come back in step.
+// closed tells whether work is refused, and until when the client may as well stay away. It is where the program parts:
+// then for good. And where what the list service has to tell is to be known first: until each director's own turn to
+// call, so that clients don't come back in step.
 func (p *program) closed() (until rules.Time, closed bool) {
-	if p.feed.Reached() || p.clock.now()-p.started > p.limits.FeedWait {
+	if p.phase >= parting {
+		return p.stopping + p.limits.DrainMost, true
+	}
+	if p.limits.FeedStart == 0 || p.feed.Reached() || p.clock.now()-p.started > p.limits.FeedWait {
 		return 0, false
 	}
 	return p.feed.CallAt() + p.limits.FeedRetry, true
@@ -290,17 +327,26 @@
 // stop begins a planned stop. Connections and requests are taken a while longer, as the front hears of it
 // late; the program ends when all that was taken is answered and read.
 func (p *program) stop() {
-	if p.stopping != 0 {
+	if p.phase != running {
 		return
 	}
-	p.stopping = p.clock.now()
+	p.phase, p.stopping = stopping, p.clock.now()
 	p.log.Info("stopping", zap.Int("open", p.director.Open()))
-	p.agenda.At(p.stopping+p.limits.DrainAccept, p.drained)
+	p.director.EndBy(p.stopping + p.limits.DrainAnswer)
+	p.agenda.At(p.stopping+p.limits.DrainAccept, p.part)
+}
+
+// part ends what is left, connection by connection. What has come until now is read before the first is ended.
+func (p *program) part() {
+	p.phase = parting
+	p.agenda.At(p.clock.now()+p.limits.DrainCheck, p.drained)
 }
 
 func (p *program) drained() {
 	now := p.clock.now()
-	if (p.director.Open() == 0 && p.clients.Unsent() == 0) || now-p.stopping > p.limits.DrainMost {
+	p.clients.Part()
+	if (p.director.Open() == 0 && p.clients.Conns() == 0) || now-p.stopping >= p.limits.DrainMost {
+		p.phase = ended
 		p.loop.Stop()
 		return
 	}
--- a/cmd/shaleyard/stories_test.go
+++ b/cmd/shaleyard/stories_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -551,6 +552,112 @@
 	}
 }
 
+// A client sends a request and then what is no message. The answer, which comes later, reaches it whole, and the
+// connection ends behind it in good order: a close over what it had sent would have reset it.
+func TestAnswerOutlivesABadStream(t *testing.T) {
+	s := start(t)
+	cl := s.client()
+	cl.Submit(1, "", fields("media", ref1)...)
+	c := s.cache.Accept()
+	c.Command()
+	cl.Send("\xff\xff\xff\xff" + strings.Repeat("junk", 5000))
+	rejected := make(chan struct{})
+	for done := false; !done; {
+		s.p.loop.Do(func() { done = s.p.rejected > 0; rejected <- struct{}{} })
+		<-rejected
+	}
+	c.Answer(ref1, "OK", "n=HIT", "whole")
+	s.want(cl.Reply(), nettest.Reply{Seq: 1, Body: "whole", Good: true})
+	if rest := cl.EOF(); rest != "" {
+		t.Errorf("%q behind the answer", rest)
+	}
+}
+
+// Bytes cross the program's half-close at its end: the request is not taken, let alone sent on, and the connection is
+// read until the client closes it, so that no reset takes the last answer with it.
+func TestRequestBehindTheLastHalfCloseIsNotTaken(t *testing.T) {
+	s := launch(t, 1024, io.Discard, func(l *config.Limits) {
+		l.DrainAccept, l.DrainAnswer, l.ClientLinger = 10*time.Millisecond, 10*time.Second, 20*time.Second
+		l.DrainMost = 20 * time.Second
+	})
+	cl := s.client()
+	cl.Submit(1, "", fields("media", ref1)...)
+	c := s.cache.Accept()
+	c.Command()
+	c.Answer(ref1, "OK", "n=HIT", "last")
+	s.want(cl.Reply(), nettest.Reply{Seq: 1, Body: "last", Good: true})
+	s.p.loop.Do(s.p.stop)
+	if rest := cl.EOF(); rest != "" {
+		t.Errorf("%q before the end", rest)
+	}
+	cl.Submit(2, "", fields("media", ref2)...)
+	cl.Close()
+	if err := <-s.ended; err != nil {
+		t.Error(err)
+	}
+	if got := s.p.director.Counters.Taken; got != 1 {
+		t.Errorf("%d requests taken, want 1", got)
+	}
+	if got := s.p.clients.Counters; got.Dropped == 0 || got.LingersCut != 0 {
+		t.Errorf("%d bytes dropped, %d lingers cut; want some and none", got.Dropped, got.LingersCut)
+	}
+}
+
+// SIGTERM may come while reloads wait behind one whose file takes long to read, and more of them than any channel holds.
+func TestStopIsNotLostBehindReloads(t *testing.T) {
+	s := launch(t, 1024, io.Discard, func(l *config.Limits) { l.DrainAccept = 10 * time.Millisecond })
+	got := signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	reading, proceed := make(chan struct{}), make(chan struct{})
+	s.p.obey(got, func() (*config.Config, error) {
+		close(reading)
+		<-proceed
+		return nil, errors.New("no file")
+	})
+	got.reload <- syscall.SIGHUP
+	<-reading
+	got.reload <- syscall.SIGHUP
+	got.report <- syscall.SIGUSR1
+	got.end <- syscall.SIGTERM
+	if err := <-s.ended; err != nil {
+		t.Error(err)
+	}
+	if s.p.reloadsFailed != 0 {
+		t.Errorf("%d reloads are through; the stop waited for them", s.p.reloadsFailed)
+	}
+}
+
+// Caches hang just as the program is told to end: what was taken from them is answered before the program is killed,
+// and a request that still comes is refused at once.
+func TestStopAnswersWhatHangs(t *testing.T) {
+	s := launch(t, 1024, io.Discard, func(l *config.Limits) {
+		l.DrainAccept, l.DrainAnswer, l.DrainMost = 10*time.Millisecond, 300*time.Millisecond, 10*time.Second
+	})
+	cl, second := s.client(), s.client()
+	second.Heartbeat(1)
+	cl.Submit(1, "", fields("media", ref1)...)
+	s.cache.Accept().Command()
+	s.p.loop.Do(s.p.stop)
+	parted := make(chan struct{})
+	for done := false; !done; {
+		s.p.loop.Do(func() { done = s.p.phase >= parting; parted <- struct{}{} })
+		<-parted
+	}
+	cl.Submit(2, "", fields("media", ref2)...)
+	if r := cl.Reply(); r.Seq != 2 || r.Field != 1 {
+		t.Errorf("behind the time for new work: %+v, want request 2 refused", r)
+	}
+	if r := cl.Reply(); r.Seq != 1 || r.Field != 1 {
+		t.Errorf("at a cache that hangs: %+v, want request 1 refused", r)
+	}
+	cl.EOF()
+	cl.Close()
+	second.EOF()
+	second.Close()
+	if err := <-s.ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // lines passes on each line written to the log.
 type lines chan string
 
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -31,6 +32,7 @@
 	BadFrame, BadMessage, BadFields, UnknownMethod    uint64
 	Answers, Refusals, Failures, OverOpen, TableFull  uint64
 	Backlogged, BytesIn, BytesOut, AnswersToDeadConns uint64
+	Failing, Lingering, LingersCut, Dropped           uint64
 }
 
 // Server holds the client connections.
@@ -38,6 +40,8 @@
 	Counters Counters
 	// Ready tells whether heartbeats are answered good.
 	Ready func() bool
+	// Rejected is told why nothing more is taken from a connection.
+	Rejected func(reason error)
 
 	limits  *config.Limits
 	pool    *buffer.Pool
@@ -46,6 +50,8 @@
 	now     func() rules.Time
 	classes map[string]int
 	conns   *director.Table[*Session]
+	lingers []*Session // eldest first; they are not among conns
+	parting bool       // the program ends: any number may linger, as no place is wanted
 	out     writer
 	tail    writer
 	frame   []byte // scratch: a frame that came in pieces
@@ -61,13 +67,26 @@
 		classes[c.Name] = i
 	}
 	return &Server{limits: l, pool: pool, taker: t, agenda: a, now: now, classes: classes,
-		Ready: func() bool { return true }, conns: director.NewTable[*Session](l.ClientConns)}
+		Ready: func() bool { return true }, Rejected: func(error) {},
+		conns: director.NewTable[*Session](l.ClientConns)}
 }
 
+// phase is where a client's connection is in its life; docs/lifecycles.md tells what each event does in each. It only
+// goes forward, in move.
+type phase uint8
+
+const (
+	serving   phase = iota // messages are taken
+	failing                // nothing more is taken, as what came can't be followed; answers that are owed still go out
+	lingering              // nothing is owed, our half is closed; what comes is dropped until the client closes its own
+	closed                 // nothing reaches the client any more
+)
+
 // Session is one client connection.
 type Session struct {
 	s       *Server
 	c       loop.Conn
+	phase   phase
 	handle  director.Handle
 	head    []byte // of a frame's length
 	want    int    // bytes of the frame under way; 0: none
@@ -77,7 +96,7 @@
 	lastUse rules.Time // when it last brought a whole message or was answered
 	begun   rules.Time // when the frame under way, or for the first one the connection, began; 0: none is owed
 	spoke   bool       // a whole message has come
-	closed  bool
+	dropped int        // bytes read and not looked at
 }
 
 // Accept takes a connection in. Where clients hold all that they may, another has to go for it, or nil is
@@ -124,20 +143,101 @@
 		return
 	}
 	s.Counters.Evicted++
-	worst.shut()
+	worst.move(lingering)
 }
 
 // busy tells whether an answer is owed, or not yet passed on whole: a close would lose it.
 func (x *Session) busy() bool { return len(x.open) > 0 || x.c.OutboundBuffered() > 0 }
 
-// shut closes the connection and frees its place at once.
+// move takes the session on to a later phase; it is the one place where the phase changes.
+func (x *Session) move(to phase) {
+	if to <= x.phase {
+		return
+	}
+	s, from := x.s, x.phase
+	x.phase = to
+	x.got.Release()
+	x.begun, x.want = 0, 0
+	if from == lingering {
+		s.lingers = slices.DeleteFunc(s.lingers, func(o *Session) bool { return o == x })
+	} else if to >= lingering {
+		s.conns.Remove(x.handle)
+	}
+	switch to {
+	case failing:
+		s.Counters.Failing++
+		s.agenda.Set(&x.idle, s.now()+s.limits.ClientIdle, x.shut)
+	case lingering:
+		s.Counters.Lingering++
+		s.lingers = append(s.lingers, x)
+		s.agenda.Set(&x.idle, s.now()+s.limits.ClientLinger, x.cut)
+		if x.c.CloseWrite() != nil {
+			x.shut()
+		}
+		if len(s.lingers) > s.limits.ClientLingers && !s.parting {
+			s.lingers[0].cut()
+		}
+	case closed:
+		s.Counters.Closed++
+		s.agenda.Drop(&x.idle)
+		for seq, h := range x.open {
+			delete(x.open, seq)
+			s.taker.Withdraw(h)
+		}
+	}
+}
+
+// finish takes nothing more from the connection, and ends it once what is owed has gone out: a close would lose that.
+func (x *Session) finish() {
+	if x.busy() {
+		x.move(failing)
+		return
+	}
+	x.move(lingering)
+}
+
+// settle ends a failing connection that owes nothing any more.
+func (x *Session) settle() {
+	switch {
+	case x.phase != failing || len(x.open) > 0:
+	case x.c.OutboundBuffered() > 0: // nothing tells when it has gone out
+		x.s.agenda.Set(&x.idle, x.s.now()+x.s.limits.FlushCheck, x.settle)
+	default:
+		x.move(lingering)
+	}
+}
+
+// shut closes the connection and frees its place at once. What the client has not read may be lost with it.
 func (x *Session) shut() {
-	x.Closed()
+	x.move(closed)
 	x.c.Close()
 }
 
-// Conns is the number of connections held.
-func (s *Server) Conns() int { return s.conns.Len() }
+// cut ends a linger.
+func (x *Session) cut() {
+	x.s.Counters.LingersCut++
+	x.shut()
+}
+
+// Part ends all connections on which nothing is owed, as the program ends. It is called again until none is left; new
+// work is refused meanwhile. A message that has begun may come whole first.
+func (s *Server) Part() {
+	s.parting = true
+	var free []*Session
+	now := s.now()
+	s.conns.All(func(_ director.Handle, x *Session) bool {
+		if !x.busy() && (x.begun == 0 || now-x.begun >= s.limits.PartGrace) {
+			free = append(free, x)
+		}
+		return true
+	})
+	for _, x := range free {
+		x.move(lingering)
+	}
+}
+
+// Conns is the number of connections held, those that linger with them.
+func (s *Server) Conns() int { return s.conns.Len() + len(s.lingers) }
 
 // Unsent is the number of bytes that clients have not read yet.
 func (s *Server) Unsent() int {
@@ -170,30 +270,35 @@
 			x.watch()
 			return
 		}
-		x.shut()
+		x.finish()
 	})
 }
 
 // Closed ends all that the connection had open: no answer can reach the client.
-func (x *Session) Closed() {
-	if x.closed {
-		return
+func (x *Session) Closed() { x.move(closed) }
+
+// Data takes what has come in. A stream that can't be followed any more ends the connection, once all that was taken
+// from it is answered.
+func (x *Session) Data(p []byte) error {
+	x.s.Counters.BytesIn += uint64(len(p))
+	if x.phase == serving {
+		err := x.read(p)
+		if err != nil && x.phase == serving {
+			x.s.Rejected(err)
+			x.finish()
+		}
+		return nil
 	}
-	x.closed = true
-	x.s.Counters.Closed++
-	x.s.agenda.Drop(&x.idle)
-	x.got.Release()
-	x.s.conns.Remove(x.handle)
-	for seq, h := range x.open {
-		delete(x.open, seq)
-		x.s.taker.Withdraw(h)
+	x.s.Counters.Dropped += uint64(len(p))
+	if x.dropped += len(p); x.dropped > x.s.limits.LingerBytes {
+		x.shut()
 	}
+	return nil
 }
 
-// Data takes what has come in. An error closes the connection: the stream can't be followed any more.
-func (x *Session) Data(p []byte) error {
-	x.s.Counters.BytesIn += uint64(len(p))
-	for len(p) > 0 && !x.closed {
+// read takes messages off the stream.
+func (x *Session) read(p []byte) error {
+	for len(p) > 0 && x.phase == serving {
 		if x.want == 0 {
 			if x.begun == 0 {
 				x.begun = x.s.now()
@@ -343,6 +448,8 @@
 	}
 	if _, still := x.open[m.seq]; still {
 		x.open[m.seq] = h
+	} else if x.phase == closed { // it died under an answer to another request: it could not withdraw this one
+		x.s.taker.Withdraw(h)
 	}
 	return nil
 }
@@ -435,7 +542,7 @@
 // Reply writes the one answer to a request.
 func (x *Session) Reply(t uint64, a director.Answer) {
 	seq := int32(uint32(t))
-	if _, ok := x.open[seq]; !ok || x.closed {
+	if _, ok := x.open[seq]; !ok || x.phase == closed {
 		x.s.Counters.AnswersToDeadConns++
 		return
 	}
@@ -451,6 +558,7 @@
 		x.s.Counters.Failures++
 		x.write(x.s.out.declared("submit", seq, 2))
 	}
+	x.settle()
 }
 
 func (x *Session) serve(seq int32, a director.Answer) {
@@ -487,7 +595,7 @@
 // write passes an answer to the socket. What a client leaves unread is bounded, for each and for all
 // together: one who does not read loses its connection, not the others their memory.
 func (x *Session) write(parts ...[]byte) {
-	if x.closed {
+	if x.phase >= lingering {
 		x.s.Counters.AnswersToDeadConns++
 		return
 	}
@@ -501,11 +609,11 @@
 	}
 	if x.c.OutboundBuffered()+size > s.limits.ClientBacklog || s.backlog > s.limits.TotalBacklog {
 		s.Counters.Backlogged++
-		x.c.Close()
+		x.shut()
 		return
 	}
 	s.Counters.BytesOut += uint64(size)
 	if _, err := x.c.Writev(parts); err != nil {
-		x.c.Close()
+		x.shut()
 	}
 }
--- /dev/null
+++ b/internal/clients/phases_test.go
@@ -0,0 +1,145 @@
+package clients
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"shaleyard/internal/director"
+	"shaleyard/internal/nettest"
+)
+
+// lasting is a bench whose connections linger.
+func lasting() *bench {
+	b := newBench()
+	l := b.s.limits
+	l.ClientLinger, l.ClientLingers, l.LingerBytes = 500*time.Millisecond, 2, 5000
+	l.FlushCheck, l.PartGrace = 10*time.Millisecond, 50*time.Millisecond
+	return b
+}
+
+func (b *bench) pass(d time.Duration) {
+	for end := b.clock + d; b.clock < end; {
+		b.clock += 5 * time.Millisecond
+		b.agenda.Run(b.clock)
+	}
+}
+
+func (b *bench) served(i int) {
+	b.replier.Reply(b.tokens[i], director.Answer{Verdict: director.Served})
+}
+
+func submission(seq int32) []byte { return []byte(nettest.SubmitFrame(seq, "", request(ref)...)) }
+
+// What a client has asked for before its stream goes bad, or before a message of it gets stuck, is owed an answer all
+// the same: a close would lose it. Nothing more is taken, and the connection ends behind the answer.
+func TestAnswersOwedGoOutBeforeABadStreamEnds(t *testing.T) {
+	for name, spoil := range map[string]func(*bench, *Session){
+		"bad frame": func(_ *bench, x *Session) { x.Data([]byte("GET / HTTP/1.1\r\n\r\n")) },
+		"stuck message": func(b *bench, x *Session) {
+			x.Data(submission(2)[:9])
+			b.pass(2100 * time.Millisecond)
+		},
+	} {
+		b := lasting()
+		w := &nettest.Link{}
+		x := b.s.Accept(w)
+		x.Data(submission(1))
+		spoil(b, x)
+		x.Data(submission(3))
+		if x.phase != failing || w.Half || w.Closed || b.withdrawn != 0 || len(b.taken) != 1 {
+			t.Fatalf("%s: phase %d, half %v, closed %v, %d withdrawn, %d taken; want an open connection with one request",
+				name, x.phase, w.Half, w.Closed, b.withdrawn, len(b.taken))
+		}
+		w.Unread = 100 // the client reads slowly
+		b.served(0)
+		b.pass(100 * time.Millisecond)
+		if w.Half || w.Text.Len() == 0 {
+			t.Fatalf("%s: half %v with %d bytes written, before the client has read them", name, w.Half, w.Text.Len())
+		}
+		w.Unread = 0
+		b.pass(20 * time.Millisecond)
+		if !w.Half || w.Closed {
+			t.Errorf("%s: half %v, closed %v; want our half closed behind the answer", name, w.Half, w.Closed)
+		}
+		x.Closed()
+		if n := b.s.Conns(); n != 0 || x.phase != closed {
+			t.Errorf("%s: %d connections left, phase %d", name, n, x.phase)
+		}
+	}
+}
+
+// A request that is read behind our half-close must not be sent on: its client has seen the connection end. What comes
+// is read and dropped, so that no reset takes the last answer with it, for a bounded time and a bounded number of bytes.
+func TestNothingIsTakenBehindAHalfClose(t *testing.T) {
+	b := lasting()
+	b.s.limits.ClientIdle = time.Second
+	links := [3]nettest.Link{}
+	var x [3]*Session
+	for i := range x {
+		x[i] = b.s.Accept(&links[i])
+		x[i].Data([]byte(nettest.Frame(1, "heartbeat", 1, []byte{2, 0, 1, 0})))
+		b.pass(5 * time.Millisecond)
+	}
+	b.pass(995 * time.Millisecond) // all have been idle for too long
+	x[1].Data(submission(2))
+	x[2].Data(submission(2))
+	if len(b.taken) != 0 {
+		t.Errorf("%d requests taken behind the half-close", len(b.taken))
+	}
+	if !links[0].Closed || links[1].Closed || links[2].Closed || !links[1].Half || !links[2].Half {
+		t.Errorf("links %+v; want the eldest closed, as two may linger", links)
+	}
+	x[2].Data([]byte(strings.Repeat("x", 5000)))
+	if !links[2].Closed {
+		t.Error("a client that sends without end is still read")
+	}
+	b.pass(510 * time.Millisecond)
+	if !links[1].Closed || b.s.Conns() != 0 {
+		t.Errorf("closed %v, %d connections; want none past the linger", links[1].Closed, b.s.Conns())
+	}
+}
+
+// As the program ends, a connection ends as soon as nothing is owed on it: not one that waits for an answer, nor one on
+// which a message is just arriving. Any number may linger then.
+func TestPartEndsWhatOwesNothing(t *testing.T) {
+	b := lasting()
+	b.s.limits.ClientLingers = 0
+	links := [4]nettest.Link{}
+	var x [4]*Session
+	for i := range x {
+		x[i] = b.s.Accept(&links[i])
+		x[i].Data([]byte(nettest.Frame(1, "heartbeat", 1, []byte{2, 0, 1, 0})))
+	}
+	x[1].Data(submission(2))
+	x[2].Data(submission(2)[:20])
+	b.s.Part()
+	if !links[0].Half || links[1].Half || links[2].Half || !links[3].Half || links[0].Closed || links[3].Closed {
+		t.Fatalf("links %+v; want the first and the last half-closed alone", links)
+	}
+	x[2].Data(submission(2)[20:])
+	b.s.Part()
+	if len(b.taken) != 2 || links[2].Half {
+		t.Errorf("%d taken, half %v: a message that had begun was cut off", len(b.taken), links[2].Half)
+	}
+	b.served(0)
+	b.served(1) // both have sequence number 2; the second replier is the last session
+	b.pass(60 * time.Millisecond)
+	b.s.Part()
+	if !links[2].Half {
+		t.Error("still open with nothing owed")
+	}
+}
+
+// A connection may die under the answer to one request while another of it is being taken: that one is withdrawn as soon
+// as it has a handle, or it would go on for a client that has gone.
+func TestRequestTakenAsItsConnectionDiesIsWithdrawn(t *testing.T) {
+	b := lasting()
+	x := b.s.Accept(&nettest.Link{})
+	x.Data(submission(1))
+	b.within = x.Closed
+	x.Data(submission(2))
+	if len(b.taken) != 2 || b.withdrawn != 2 {
+		t.Errorf("%d taken, %d withdrawn; want 2 and 2", len(b.taken), b.withdrawn)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -51,6 +51,11 @@
 	ClientMessage time.Duration // for a connection's first message, and for any from its first byte to its last
 	ClientKeeps   time.Duration // clients close a connection that was idle for so long, or leave it for good
 	ClientIdle    time.Duration // an idle client connection is closed after this
+	ClientLinger  time.Duration // our half closed, a connection is read on for so long until the client closes its own
+	ClientLingers int           // connections that linger at once, beyond ClientConns
+	LingerBytes   int           // that are read and dropped on a connection that is ending
+	FlushCheck    time.Duration // between looks whether a client has read what is left for it
+	PartGrace     time.Duration // a message that has begun when the program parts has so long to come whole
 	OpenRequests  int           // requests taken and not answered
 	LongestAllow  time.Duration // that a client may wait
 	Overdue       time.Duration // past its time, a request without an answer is failed
@@ -86,6 +91,7 @@
 
 	// Stop.
 	DrainAccept time.Duration // after SIGTERM connections and requests are still taken for so long
+	DrainAnswer time.Duration // after SIGTERM all that was taken is answered by then
 	DrainCheck  time.Duration // between looks whether all is answered
 	DrainMost   time.Duration // after SIGTERM the program ends no later
 
@@ -214,11 +220,15 @@
 func fill(d document, t transport, s *rules.Settings) Limits {
 	memory := int(d.Limits.MemoryMB * (1 << 20))
 	sockets := int(d.Limits.Sockets)
-	longest := 3 * time.Second
+	longest := time.Duration(0)
 	for _, c := range s.Services {
 		longest = max(longest, c.Deadline)
 	}
-	reserve := 32 // listener, poller, feed, standard streams, and what is between accept and close
+	// Protocol page: SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as 3 s where it is
+	// longer, and 0.7 s.
+	kill := min(longest, 3*time.Second) + 700*time.Millisecond
+	lingers, dialRoom := min(12, sockets/32), min(8, sockets/32)
+	reserve := 20 + lingers + dialRoom // listener, pollers, feed, standard streams, and what is between accept and close
 	l := Limits{
 		Cores:       d.Limits.Cores,
 		MemoryBytes: int64(memory) * 3 / 4,
@@ -234,12 +244,17 @@
 		ClientMessage: 2 * time.Second,
 		ClientKeeps:   4500 * time.Millisecond,
 		ClientIdle:    30 * time.Second,
+		ClientLinger:  500 * time.Millisecond,
+		ClientLingers: lingers,
+		LingerBytes:   1 << 20,
+		FlushCheck:    10 * time.Millisecond,
+		PartGrace:     50 * time.Millisecond, // protocol page: what crosses a close by less is sent again
 		OpenRequests:  4096,
 		LongestAllow:  10 * time.Minute,
 		Overdue:       25 * time.Millisecond,
 
 		PeerConns:      sockets - sockets/3 - reserve,
-		DialRoom:       8,
+		DialRoom:       dialRoom,
 		ConnsPerPeer:   min(max((sockets-sockets/3-reserve)/8, 1), 32),
 		StreamsPerConn: 100,
 		ConnectTimeout: time.Second,
@@ -264,7 +279,8 @@
 
 		DrainAccept: 700 * time.Millisecond,
 		DrainCheck:  5 * time.Millisecond,
-		DrainMost:   longest + 650*time.Millisecond,
+		DrainAnswer: kill - 200*time.Millisecond,
+		DrainMost:   kill - 50*time.Millisecond,
 
 		PauseLimit:  80 * time.Millisecond, // under the time in which a client's leaving must be heeded, over the router's tick
 		PauseSettle: 30 * time.Millisecond,
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -64,7 +64,7 @@
 		Services: []rules.Class{{Name: "read", Aim: time.Second, Deadline: 4 * time.Second, Effect: "read_like"},
 			{Name: "pay", Aim: time.Second, Deadline: 4 * time.Second, Effect: "non_idempotent"}},
 		Ceilings: rules.Ceilings{Cancel: true, MaxAttempts: 3},
-		Family:   rules.Tiers{PassOn: []bool{false, true}, MergesFills: true, MasterKind: 2, SecondTierKind: 1,
+		Family: rules.Tiers{PassOn: []bool{false, true}, MergesFills: true, MasterKind: 2, SecondTierKind: 1,
 			NotesGiven: "all"}}
 	var err error
 	b.d, err = New(s, 1, &config.Limits{OpenRequests: 8, Overdue: 25 * time.Millisecond}, &b.agenda, func() rules.Time { return b.clock }, zap.NewNop())
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -9,7 +9,7 @@
 //     a data race between dials. SourceAddrHash keeps no state, and dials go to the loop itself.
 //   - OnTick runs on a goroutine of its own, not on the loop. Deadlines come through EventLoop.Execute, and
 //     an EventLoop is handed out only through a Conn: the first tick registers a connected UDP socket to
-//     get it, as OnBoot is called before there is a loop to register with. Such a socket gets no OnOpen.
+//     get it, as OnBoot is called before there is a loop to register with. Such a socket gets an OnOpen, too.
 //   - Write passes on what the socket takes and copies the rest into an elastic buffer without a bound;
 //     nothing tells when it has drained. So bodies are written whole and OutboundBuffered is bounded here.
 //   - A failed write closes the connection and calls OnClose before Write returns: all handlers must bear
@@ -37,13 +37,24 @@
 )
 
 // Conn is a connection as its owner sees it. A write never blocks; what the socket does not take at once is
-// kept and counted by OutboundBuffered. Close comes into effect after the caller has returned.
+// kept and counted by OutboundBuffered. Close comes into effect after the caller has returned; over bytes that were
+// not read it resets the connection, and what the peer has not read of our answers is lost. CloseWrite ends our half
+// alone, behind all that was written.
 type Conn interface {
 	Writev([][]byte) (int, error)
 	OutboundBuffered() int
+	CloseWrite() error
 	Close() error
 }
 
+// socket is gnet's connection as a Conn.
+type socket struct{ gnet.Conn }
+
+// CloseWrite implements Conn.
+func (s socket) CloseWrite() error {
+	return os.NewSyscallError("shutdown", syscall.Shutdown(s.Fd(), syscall.SHUT_WR))
+}
+
 // Session takes what a connection brings, on the loop. An error of Data closes the connection.
 type Session interface {
 	Data([]byte) error
@@ -324,7 +335,6 @@
 	if r.Err != nil {
 		return r.Err
 	}
-	// A connected datagram socket gets no OnOpen: the loop is booted through its handle instead.
 	el := r.Conn.EventLoop()
 	return el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		defer l.arm()
@@ -359,13 +369,14 @@
 	defer l.arm()
 	l.wake()
 	l.boot(c.EventLoop())
+	_ = c.SetNoDelay(true) // what the kernel holds back goes with a reset
 	switch x := c.Context().(type) {
+	case doorbell: // no client, and not to be closed as one that says nothing
 	case *dial:
-		_ = c.SetNoDelay(true)
 		c.SetContext(x.stream)
-		x.stream.Opened(c)
+		x.stream.Opened(socket{c})
 	default:
-		s := l.Front.Accept(c)
+		s := l.Front.Accept(socket{c})
 		if s == nil {
 			return nil, gnet.Close
 		}
--- a/internal/nettest/nettest.go
+++ b/internal/nettest/nettest.go
@@ -99,6 +99,20 @@
 	return string(b)
 }
 
+// EOF waits for the other side to close its half in good order, and tells what came before that: a reset, which may
+// have taken an answer with it, ends the test.
+func (c *Conn) EOF() string {
+	c.t.Helper()
+	b, err := io.ReadAll(c.r)
+	if err != nil {
+		c.t.Fatalf("end of the connection: %v", err)
+	}
+	return string(b)
+}
+
+// Close closes the connection.
+func (c *Conn) Close() { c.c.Close() }
+
 // Line reads a line, without its end.
 func (c *Conn) Line() string {
 	c.t.Helper()
@@ -250,6 +264,7 @@
 type Link struct {
 	Text   strings.Builder
 	Unread int // what OutboundBuffered tells
+	Half   bool
 	Closed bool
 }
 
@@ -265,6 +280,12 @@
 // OutboundBuffered is Unread.
 func (l *Link) OutboundBuffered() int { return l.Unread }
 
+// CloseWrite notes that it was called.
+func (l *Link) CloseWrite() error {
+	l.Half = true
+	return nil
+}
+
 // Close notes that it was called.
 func (l *Link) Close() error {
 	l.Closed = true
