Follow the old list service until the new one is up, and derive the silence from the drain limit

Read line by line; tests fail without each mend:

Follower.dial closed the present stream before it dialled the service that a new configuration names. While that one was down, slow or crowded, nothing was heard though the old one still told it, and what it told counted as told. The old stream is now followed until the new one is up; at that instant it is closed, and the new one is asked for what comes behind the last event, so that none comes twice or out of turn. FeedSilence was 1.3 s whatever the deployment. It follows from the drain limit now (what is told in silence must still be heard in time: limit less call and 0.2 s), never under 1.1 s as a line comes each second, nor over 1.3 s: unchanged at 2 s, 1.1 s at 1 s.

TestRedirectLeavesTheOldFeedBehind wanted the old stream closed as soon as it was our turn; TestRedirectFollowsTheOldFeedUntilTheNewIsUp takes its place and checks more. Ruled out: events of both services mixed, as only one stream is ever read.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -127,6 +127,9 @@
 	} `json:"ceilings"`
 }
 
+// beat is the time between two signs of life of the feed (protocol page).
+const beat = time.Second
+
 // Load reads the file that EDGE_CONFIG names. EDGE_NAME and EDGE_LISTEN, where set, must not contradict it.
 // EDGE_FD, where set, is the descriptor of a socket that listens there already.
 // The process may hold descriptors at most, whatever the file says.
@@ -298,6 +301,9 @@
 	if v := s.Guarantees.DrainGrace; v > 0 {
 		l.FeedHeed = v
 	}
+	// What is told in silence is heard when the silence is over and the service was called again. A sign of life comes
+	// each second, so that nothing shorter than that, with room for the way, is a silence.
+	l.FeedSilence = max(beat+beat/10, min(l.FeedSilence, l.FeedHeed-l.FeedCall-beat/5))
 	if v := s.Family.PurgeSlack; v > 0 {
 		l.FeedPurge = v
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -27,6 +27,13 @@
 	if d := cmp.Diff(want, got); d != "" {
 		t.Error(d)
 	}
+	for grace, want := range map[string]time.Duration{"2000000000": 1300 * time.Millisecond, "9000000000": 1300 * time.Millisecond,
+		"1500000000": 1100 * time.Millisecond, "1900000000": 1200 * time.Millisecond, "800000000": 1100 * time.Millisecond} {
+		text := strings.Replace(good, `"ceilings"`, `"guarantees":{"drainGrace":`+grace+`},"ceilings"`, 1)
+		if c, err := Parse([]byte(text), 1<<20); err != nil || c.Limits.FeedSilence != want {
+			t.Errorf("drains to be heeded within %s ns: a silence is %v, want %v (%v)", grace, c.Limits.FeedSilence, want, err)
+		}
+	}
 	// gnet's accept ends the engine when descriptors run out: the shares must leave a reserve.
 	if sum := l.ClientConns + l.ClientLingers + l.PeerConns + l.DialRoom; sum > l.Descriptors-20 {
 		t.Errorf("%d descriptors shared out of %d", sum, l.Descriptors)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -70,7 +70,9 @@
 	reached bool
 	heard   rules.Time // the last line that could be used
 	callAt  rules.Time // when the next call is made
-	stream  *stream
+	stream  *stream    // the one that is up and followed; nil: none
+	next    *stream    // the one that is being dialled; nil: none
+	moving  bool       // the operators have named another service, and it is not up yet
 	silence director.Entry
 	again   director.Entry // the next dial
 	log     *zap.Logger
@@ -125,24 +127,18 @@
 // CallAt is when the latest call was made, or will be.
 func (f *Follower) CallAt() rules.Time { return f.callAt }
 
-// dial opens a stream. One that is up until then, because the operators have named another service, is given up
-// first, so that no event can come twice or out of turn.
+// dial opens a stream. One that is up, because the operators have named another service, is followed until the new
+// one is: what is told meanwhile counts as told, and the new service may be down or slow.
 func (f *Follower) dial() {
 	if f.moveTo != "" {
-		f.address, f.moveTo = f.moveTo, ""
+		f.address, f.moveTo, f.moving = f.moveTo, "", true
 	}
-	if old := f.stream; old != nil {
-		f.stream = nil
-		if old.link != nil {
-			old.link.Close()
-		}
-	}
-	f.stream = &stream{f: f}
-	f.dialer.Dial(f.address, f.limits.ConnectTimeout, f.stream)
+	f.next = &stream{f: f}
+	f.dialer.Dial(f.address, f.limits.ConnectTimeout, f.next)
 }
 
 // Connected tells whether the feed is up.
-func (f *Follower) Connected() bool { return f.stream != nil && f.stream.link != nil }
+func (f *Follower) Connected() bool { return f.stream != nil }
 
 // Reached tells whether a stream has been opened since the start: what there is to tell is on its way then. Who has
 // lost it since goes on by what it knows.
@@ -151,17 +147,23 @@
 // Heard is when the feed's last line came that could be used; 0: none has.
 func (f *Follower) Heard() rules.Time { return f.heard }
 
-// retry gives the present stream up and calls again in its time.
+// retry gives a stream, or a dial that has failed, up and calls again in its time. A stream that ends while the next
+// one is being dialled is replaced by that.
 func (f *Follower) retry(s *stream, e pacing.End) {
-	if f.stream != s {
-		return
-	}
-	f.stream = nil
-	f.agenda.Drop(&f.silence)
-	if s.link != nil {
+	switch s {
+	case f.stream:
+		f.stream = nil
+		f.agenda.Drop(&f.silence)
 		s.link.Close()
+	case f.next:
+		f.next = nil
+	default:
+		return
 	}
 	f.Counters.Ends[e]++
+	if f.next != nil {
+		return
+	}
 	now := f.now()
 	at := f.calls.Next(now, e)
 	f.log.Info("feed lost", zap.String("feed", f.address), zap.Stringer("cause", e), zap.Duration("again_in", at-now),
@@ -209,11 +211,15 @@
 
 func (s *stream) Opened(c loop.Conn) {
 	f := s.f
-	if f.stream != s {
+	if f.next != s {
 		c.Close()
 		return
 	}
+	if old := f.stream; old != nil { // no event comes twice, or out of turn
+		old.link.Close()
+	}
 	s.link = c
+	f.stream, f.next, f.moving = s, nil, false
 	f.reached = true
 	f.Counters.Connects++
 	f.listen(s)
@@ -299,7 +305,9 @@
 		}
 		s.f.listen(s)
 		s.spoke, s.f.heard = true, s.f.now()
-		s.f.calls.Good(s.f.now())
+		if !s.f.moving { // what the old service tells says nothing of calls of the new one
+			s.f.calls.Good(s.f.now())
+		}
 	}
 	return nil
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -195,7 +195,7 @@
 	calls := func(err error) int {
 		b := started(t, 300)
 		for range 200 {
-			if n := len(b.dials); b.f.stream == b.dials[n-1] {
+			if n := len(b.dials); b.f.next == b.dials[n-1] {
 				b.dials[n-1].Failed(err)
 			}
 			b.pass(100 * time.Millisecond)
@@ -209,35 +209,85 @@
 	}
 }
 
-// A new address is dialled in our turn, behind the last event, and the old feed is followed until then. After it
-// the old stream must not bring any more events, nor a second dial when it ends.
-func TestRedirectLeavesTheOldFeedBehind(t *testing.T) {
+// A new configuration names another service: all directors are told at once, and each calls it when it is its turn.
+// The old one is followed until the new one is up, which may be late, or down at first; from then on nothing of it
+// counts, and no event is missed or comes twice.
+func TestRedirectFollowsTheOldFeedUntilTheNewIsUp(t *testing.T) {
 	b := started(t, 300)
 	old := b.open()
+	event := func(n int) {
+		t.Helper()
+		err := b.dials[0].Data(fmt.Appendf(nil, "{\"n\":%d,\"purge\":{\"group\":1,\"at\":1}}\n", n))
+		if err != nil || b.f.last != uint64(n) {
+			t.Fatalf("the old feed's event %d was not taken: %v, at %d", n, err, b.f.last)
+		}
+	}
 	b.dials[0].Data([]byte(ready + "\n"))
 	b.f.Redirect("b")
-	b.pass(0)
-	if old.Closed {
-		t.Fatal("the old feed was left before our turn")
+	event(2)
+	b.pass(450 * time.Millisecond)
+	if len(b.dials) != 2 || b.f.address != "b" {
+		t.Fatalf("%d dials, at %s; want the new one called in its turn", len(b.dials), b.f.address)
+	}
+	event(3) // its dial is under way
+	for range 200 { // it is crowded: called again, ever more seldom, though the old one goes on well
+		if n := len(b.dials); b.f.next == b.dials[n-1] {
+			b.dials[n-1].Failed(os.ErrDeadlineExceeded)
+		}
+		event(int(b.f.last) + 1)
+		b.pass(200 * time.Millisecond)
 	}
-	if err := b.dials[0].Data([]byte(`{"n":2,"purge":{"group":1,"at":1}}` + "\n")); err != nil || b.f.last != 2 {
-		t.Errorf("the old feed's event was not taken before the move: %v, at %d", err, b.f.last)
+	if n := len(b.dials); n < 6 || n > 13 || old.Closed {
+		t.Fatalf("%d dials, old stream closed %v; want 6 to 13 in 40 s, beside the old stream", n, old.Closed)
 	}
-	b.pass(1500 * time.Millisecond)
-	if len(b.dials) != 2 || !old.Closed || b.f.address != "b" {
-		t.Fatalf("%d dials, old stream closed: %v, at %s", len(b.dials), old.Closed, b.f.address)
+	for b.f.next == nil { // until the next call
+		event(int(b.f.last) + 1)
+		b.pass(200 * time.Millisecond)
 	}
-	if err := b.dials[0].Data([]byte(`{"n":3,"purge":{"group":1,"at":1}}` + "\n")); err == nil || b.f.last != 2 {
-		t.Errorf("the old feed's event was taken: at %d", b.f.last)
+	last := b.f.last
+	if got, want := b.open().Text.String(), fmt.Sprintf("SUB %d\n", last); got != want || !old.Closed {
+		t.Errorf("subscribed with %q, want %q; old stream closed %v", got, want, old.Closed)
 	}
-	b.dials[0].Closed()
-	if got := b.open().Text.String(); got != "SUB 2\n" {
-		t.Errorf("subscribed with %q", got)
+	if err := b.dials[0].Data(fmt.Appendf(nil, "{\"n\":%d,\"purge\":{\"group\":1,\"at\":1}}\n", last+1)); err == nil || b.f.last != last {
+		t.Errorf("a late event of the old feed was taken: at %d", b.f.last)
 	}
+	b.dials[0].Closed()
+	dials := len(b.dials)
 	b.f.Redirect("b")
 	b.pass(time.Second)
+	if len(b.dials) != dials {
+		t.Errorf("%d dials after the same address again, want %d", len(b.dials), dials)
+	}
+}
+
+// The old service ends while the new one is being dialled: that dial replaces it, and no second one is made.
+func TestOldFeedEndsWhileTheNewIsDialled(t *testing.T) {
+	b := started(t, 300)
+	b.open()
+	b.dials[0].Data([]byte(ready + "\n"))
+	b.f.Redirect("b")
+	b.pass(450 * time.Millisecond)
+	b.dials[0].Closed()
+	for range 4 {
+		b.pass(500 * time.Millisecond)
+	}
 	if len(b.dials) != 2 {
-		t.Errorf("%d dials after the same address again, want 2", len(b.dials))
+		t.Fatalf("%d dials, want the one under way alone", len(b.dials))
+	}
+	if got := b.open().Text.String(); got != "SUB 1\n" || !b.f.Connected() {
+		t.Errorf("subscribed with %q, connected %v", got, b.f.Connected())
+	}
+	b.f.Redirect("c") // and told of another one while a dial is under way: only the last one counts
+	b.pass(450 * time.Millisecond)
+	b.f.Redirect("d")
+	b.pass(450 * time.Millisecond)
+	if len(b.dials) != 4 || b.f.address != "d" {
+		t.Fatalf("%d dials, at %s", len(b.dials), b.f.address)
+	}
+	late := &nettest.Link{}
+	b.dials[2].Opened(late)
+	if !late.Closed || late.Text.Len() != 0 {
+		t.Error("a dial that was overtaken is followed")
 	}
 }
 
