Name settings that can't work, and survive what other deployments may hold

Seen: a test that puts null, a word, -1, 0, 0.5, true and 1e18 in the place of each value of the settings (TestOddSettingsAreNamedOrPlay, 500 changes and more, each played for some seconds) ended in a panic for ceilings.maxRetryAfter below 0 (rand.Int64N in retryAfter) and for our own hub out of range (siteview.New); 26 errors named a group of keys, not the key.

Change: rules.validate checks key by key; the two are errors before anything listens. An effect that is not known counts as one that must not run twice, in the director too (connections of its own, refused last), as it did in maySend.

Also: half an answer that had come when its attempt was given up was read on into the next answer on that connection; an answer that never ends swallowed it. A connection amid an answer takes nothing new, and is closed after PeerSilence unless the rest comes (TestConnectionAmidAnAnswerTakesNothingNew, fails without).

--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -308,6 +308,9 @@
 	if at, ghost := c.ghosts[id]; ghost && now-at <= f.limits.PeerGhost {
 		return false
 	}
+	if len(c.open) == 0 && c.parser.midway() {
+		return false // what comes next would be read as the rest of an answer that was given up
+	}
 	if len(c.open) == 0 && c.link != nil && now-c.rested > f.keep {
 		f.Counters.Stale++
 		c.shut()
@@ -635,7 +638,11 @@
 		return
 	}
 	c.rested = c.f.now()
-	c.f.agenda.Set(&c.idle, c.f.now()+c.f.limits.PeerIdle, func() {
+	wait := c.f.limits.PeerIdle
+	if c.parser.midway() {
+		wait = c.f.limits.PeerSilence // for the rest of an answer that was given up: some never end
+	}
+	c.f.agenda.Set(&c.idle, c.rested+wait, func() {
 		c.f.Counters.Idle++
 		c.shut()
 	})
@@ -651,6 +658,8 @@
 	}
 	if c.closed {
 		c.parser.release() // closed by what an answer brought about, with the next one begun
+	} else if err == nil {
+		c.rest()
 	}
 	if err != nil {
 		c.f.Counters.BadStream++
--- a/internal/caches/crossings_test.go
+++ b/internal/caches/crossings_test.go
@@ -161,3 +161,34 @@
 		b.want(t, map[director.Handle]rules.Result{1: want})
 	}
 }
+
+// Half an answer has come when its attempt is given up: what is asked next on that connection would be answered into
+// the other half, which may never come. Once it has come, the connection is as good as any.
+func TestConnectionAmidAnAnswerTakesNothingNew(t *testing.T) {
+	for _, rest := range []bool{true, false} {
+		b := newBench()
+		b.send(1, "r1")
+		l := &nettest.Link{}
+		b.dials[0].Opened(l)
+		whole := bulk("r1", "OK", "-", "a long body")
+		b.dials[0].Data([]byte(whole[:len(whole)-5]))
+		b.f.Stop(1)
+		b.send(2, "r2")
+		if len(b.dials) != 2 {
+			t.Fatalf("%d dials: r2 is behind half an answer", len(b.dials))
+		}
+		if rest {
+			b.dials[0].Data([]byte(whole[len(whole)-5:]))
+			b.send(3, "r3")
+			if b.f.calls[3].c != b.dials[0] {
+				t.Error("a connection is not used though the answer on it has ended")
+			}
+			continue
+		}
+		b.clock += b.f.limits.PeerSilence
+		b.agenda.Run(b.clock)
+		if !l.Closed {
+			t.Error("a connection with an answer that does not end is kept")
+		}
+	}
+}
--- a/internal/caches/resp.go
+++ b/internal/caches/resp.go
@@ -173,6 +173,9 @@
 	return b[1:], nil
 }
 
+// midway tells that a part of an answer has come, and not all of it.
+func (p *parser) midway() bool { return p.state != atArray || len(p.line) > 0 }
+
 // release gives back what an answer under way holds.
 func (p *parser) release() { p.cur.body.Release() }
 
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -252,7 +252,7 @@
 			return until - now, false
 		}
 	}
-	if d.Admission != nil && d.settings.Services[class].Effect != "non_idempotent" { // those are refused last
+	if d.Admission != nil && repeatable(d.settings.Services[class].Effect) { // the others are refused last
 		if wait, ok := d.Admission.May(now, d.requests.Len()-1); !ok {
 			d.Counters.NotAdmitted++
 			return wait, false
@@ -560,13 +560,17 @@
 	r.out[a.no] = h
 	d.limit(h, a, r)
 	c.Request, c.Patience = &r.Request, a.until-now
-	c.Once = d.settings.Services[r.Class].Effect == "non_idempotent"
+	c.Once = !repeatable(d.settings.Services[r.Class].Effect)
 	if up != 0 {
 		c.Up = d.names[up].name
 	}
 	d.peers.Send(h, host, c)
 }
 
+// repeatable tells whether what may have run may be sent again at all. An effect that is not known counts as one that
+// must not run twice, as in the rules.
+func repeatable(effect string) bool { return effect == "read_like" || effect == "idempotency_key" }
+
 // limit sets the time at which an attempt is given up.
 func (d *Director) limit(h Handle, a *attempt, r *request) {
 	d.agenda.Set(&a.deadline, a.until, func() {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -229,7 +229,7 @@
 	if len(b.dials) != 2 || b.f.address != "b" {
 		t.Fatalf("%d dials, at %s; want the new one called in its turn", len(b.dials), b.f.address)
 	}
-	event(3) // its dial is under way
+	event(3)        // its dial is under way
 	for range 200 { // it is crowded: called again, ever more seldom, though the old one goes on well
 		if n := len(b.dials); b.f.next == b.dials[n-1] {
 			b.dials[n-1].Failed(os.ErrDeadlineExceeded)
--- a/rules/settings.go
+++ b/rules/settings.go
@@ -7,29 +7,51 @@
 	"shaleyard/internal/siteview"
 )
 
-// validate names the first field that cannot work.
+// validate names the first field that cannot work. What is not here may hold anything: a word that is not known counts as
+// the most careful one (an effect as non_idempotent, weights and lateral as off), an index out of range as none.
 func (s *Settings) validate() error {
 	n, z := len(s.Services), len(s.Zones)
-	f, g := &s.Family, &s.Guarantees
+	f, g, c := &s.Family, &s.Guarantees, &s.Ceilings
 	switch {
 	case n == 0:
 		return fmt.Errorf("services: no classes")
 	case s.Zone < 0 || s.Zone >= max(z, 1):
 		return fmt.Errorf("zone: %d is not among %d dcs", s.Zone, z)
-	case s.Ceilings.MaxAttempts < 1:
-		return fmt.Errorf("ceilings.maxAttempts: %d", s.Ceilings.MaxAttempts)
-	case s.Quantum < 0:
-		return fmt.Errorf("quantum: negative")
-	case g.Cold < 0 || g.Fall < 0 || g.DrainGrace < 0 || g.AskWithin < 0 || g.GraceToAnswer < 0:
-		return fmt.Errorf("guarantees: negative time")
-	case g.ColdFrom < 0 || g.TipMultiple < 0:
-		return fmt.Errorf("guarantees: negative coldFrom or tipMultiple")
-	case f.PurgeTakes < 0 || f.PurgeSlack < 0 || f.ParentRamp < 0 || f.OriginBears < 0:
-		return fmt.Errorf("familyInfo: negative time")
+	case c.MaxAttempts < 1:
+		return fmt.Errorf("ceilings.maxAttempts: %d", c.MaxAttempts)
 	}
-	for i := range s.Services {
-		if c := &s.Services[i]; c.Aim <= 0 || c.Deadline <= 0 || c.DedupWindow < 0 {
-			return fmt.Errorf("services[%d]: aim and deadline must be above 0", i)
+	type least struct {
+		key string
+		is  float64
+	}
+	notNegative := []least{{"quantum", float64(s.Quantum)},
+		{"ceilings.maxRetryAfter", float64(c.MaxRetryAfter)}, {"ceilings.openCap", float64(c.OpenCap)},
+		{"guarantees.askWithin", float64(g.AskWithin)}, {"guarantees.cold", float64(g.Cold)},
+		{"guarantees.coldFrom", g.ColdFrom}, {"guarantees.drainGrace", float64(g.DrainGrace)},
+		{"guarantees.fall", float64(g.Fall)}, {"guarantees.graceToAnswer", float64(g.GraceToAnswer)},
+		{"guarantees.tipMultiple", g.TipMultiple},
+		{"familyInfo.originBears", float64(f.OriginBears)}, {"familyInfo.parentColdFrom", f.ParentColdFrom},
+		{"familyInfo.parentFallMultiple", f.ParentFallMultiple}, {"familyInfo.parentRamp", float64(f.ParentRamp)},
+		{"familyInfo.purgeSlack", float64(f.PurgeSlack)}, {"familyInfo.purgeTakes", float64(f.PurgeTakes)}}
+	for i, k := range s.Services {
+		at := fmt.Sprintf("services[%d].", i)
+		notNegative = append(notNegative, least{at + "dedupWindow", float64(k.DedupWindow)},
+			least{at + "aimStretch", k.AimStretch}, least{at + "worth", k.Worth}, least{at + "lateWorth", k.LateWorth})
+		switch {
+		case k.Aim <= 0:
+			return fmt.Errorf("%saim: %v, must be above 0", at, k.Aim)
+		case k.Deadline <= 0:
+			return fmt.Errorf("%sdeadline: %v, must be above 0", at, k.Deadline)
+		}
+	}
+	for _, l := range notNegative {
+		if l.is < 0 {
+			return fmt.Errorf("%s: negative", l.key)
+		}
+	}
+	if len(f.HubByZone) > s.Zone {
+		if h := f.HubByZone[s.Zone]; h < 0 || h >= max(z, 1) {
+			return fmt.Errorf("familyInfo.hubByZone[%d]: our hub %d is not among %d dcs", s.Zone, h, z)
 		}
 	}
 	for _, l := range []struct {
