--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/fnv"
+	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -227,6 +230,33 @@
 			"hubByZone": hubs}}
 }
 
+// idle opens connections to directors that say nothing, and leaves them so. One that is turned away stays away.
+func (l *Lab) idle(ids []int, count int) (held []net.Conn) {
+	for _, id := range ids {
+		for range count {
+			if c, err := net.DialTimeout("tcp", l.directors[id].addr(), time.Second); err == nil {
+				held = append(held, c)
+			}
+		}
+	}
+	return held
+}
+
+// size is how large an object is, as times of the mean: lognormal, by its name alone, so that all agree on it.
+func (l *Lab) size(object string) float64 {
+	sigma := l.x.Clients.SizeSigma
+	if sigma == 0 {
+		return 1
+	}
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, object)
+	rng := rand.New(rand.NewPCG(h.Sum64(), 11))
+	return math.Exp(sigma*rng.NormFloat64() - sigma*sigma/2)
+}
+
+// work is the time that a transfer of an object takes at full pace, in seconds.
+func (l *Lab) work(object string) float64 { return l.x.Clients.TransferMS / 1000 * l.size(object) }
+
 // all starts every director at once.
 func (l *Lab) startAll(ids []int, last bool) error {
 	var wg sync.WaitGroup
@@ -397,6 +427,13 @@
 	}
 	well := plain(func() { l.list.set("well", 1, 0) })
 	switch s.Do {
+	case "idle":
+		var held []net.Conn
+		return plain(func() { held = l.idle(ids, s.Count) }), plain(func() {
+			for _, c := range held {
+				c.Close()
+			}
+		})
 	case "kill":
 		return each(ids, func(p *process) { p.signal(syscall.SIGKILL, "kill") }), func() error { return l.again(ids) }
 	case "term":
--- a/internal/labcheck/check.go
+++ b/internal/labcheck/check.go
@@ -42,9 +42,13 @@
 	drainMost  = 2000.0
 	purgeMost  = 500.0
 	toldAtMost = 7000.0
-	stopTakes  = 700.0 // after SIGTERM requests are owed an answer for so long
-	lagTimes   = 3.0   // times the lab's own lateness that a limit is longer
-	budgetOver = 1.0   // of the cold budget
+	leftMost   = 100.0   // after its client has gone, an attempt of a request may still begin for so long
+	leftLong   = 300.0   // one that waited until then is not sent on at all
+	leftSome   = 2       // cases that are let pass
+	readyMost  = 10000.0 // nine in ten processes that are started are ready by then
+	stopTakes  = 700.0   // after SIGTERM requests are owed an answer for so long
+	lagTimes   = 3.0     // times the lab's own lateness that a limit is longer
+	budgetOver = 1.0     // of the cold budget
 )
 
 // record is what the lines come to, by what the rules ask of them.
@@ -57,6 +61,7 @@
 	told   map[string][]line // by director
 	unwell []span            // of the list service or of links to it
 	links  []span            // of links to clients, with what was wrong
+	left   map[string]line   // clients that closed or cancelled, by ref
 }
 
 type span struct{ from, to float64 }
@@ -65,7 +70,7 @@
 
 // Check reads a record and judges it.
 func Check(r io.Reader) (*Verdict, error) {
-	rec := &record{lives: map[string][]line{}, ends: map[string]line{}, told: map[string][]line{}}
+	rec := &record{left: map[string]line{}, lives: map[string][]line{}, ends: map[string]line{}, told: map[string][]line{}}
 	s := bufio.NewScanner(r)
 	s.Buffer(nil, 1<<20)
 	for n := 1; s.Scan(); n++ {
@@ -88,6 +93,8 @@
 	rec.drains(v)
 	worst := rec.cold(v)
 	rec.purges(v)
+	rec.leavers(v)
+	rec.starts(v)
 	rec.faults(v)
 	slices.SortStableFunc(v.Broken, func(a, b Broken) int {
 		switch {
@@ -129,6 +136,8 @@
 				continue
 			}
 			r.ends[l.Ref] = l
+		case "leave":
+			r.left[l.Ref] = l
 		case "news":
 			r.news = append(r.news, l)
 		case "told":
@@ -217,7 +226,9 @@
 			if r.excused(l.Director, l.MS, l.MS+limit) || touches(r.links, l.MS, l.MS+limit) {
 				continue
 			}
+			gone, left := r.left[l.Ref]
 			switch {
+			case left && gone.MS <= l.MS+limit: // none is owed
 			case !ok:
 				v.broke("answer", l.MS, l.Director, "%s was never answered", l.Ref)
 			case end.What != "served" && end.What != "refused" && end.What != "failed":
@@ -378,6 +389,71 @@
 	}
 }
 
+// leavers: nothing is begun for a client that has gone. A few cases are let pass, as a director may have been stopped
+// with the decision made; but of requests that waited as their clients left, a quarter at most is sent on later.
+func (r *record) leavers(v *Verdict) {
+	var late []line
+	begun, long := map[string]bool{}, map[string]bool{}
+	for _, l := range r.lines {
+		gone, left := r.left[l.Ref]
+		if l.Kind != "req" || !left {
+			continue
+		}
+		if l.MS <= gone.MS {
+			begun[l.Ref] = true
+		}
+		if l.MS-gone.MS > leftMost+r.lag(gone.MS, l.MS) {
+			late = append(late, l)
+		}
+		if l.MS-gone.MS > leftLong+r.lag(gone.MS, l.MS) {
+			long[l.Ref] = true
+		}
+	}
+	for i, l := range late {
+		if i >= leftSome {
+			v.broke("left", l.MS, l.Director, "%s was begun %.0f ms after its client had gone", l.Ref, l.MS-r.left[l.Ref].MS)
+		}
+	}
+	waited, sent := 0, 0
+	for ref := range r.left {
+		if !begun[ref] {
+			waited++
+			if long[ref] {
+				sent++
+			}
+		}
+	}
+	if sent > leftSome/2 && sent*4 > waited {
+		v.broke("left", 0, "", "%d of %d requests whose clients left while they waited were sent on all the same", sent, waited)
+	}
+}
+
+// starts: nine in ten processes that are started, and neither ended nor stopped meanwhile, are ready in time.
+func (r *record) starts(v *Verdict) {
+	started, late, who := 0, 0, ""
+	end := r.lines[len(r.lines)-1].MS
+	for name, lives := range r.lives {
+		for i, l := range lives {
+			if l.What != "start" || l.MS+readyMost > end {
+				continue
+			}
+			next := line{MS: forever}
+			if i+1 < len(lives) {
+				next = lives[i+1]
+			}
+			switch {
+			case next.Kind == "ready" && next.MS-l.MS <= readyMost:
+				started++
+			case next.Kind == "ready" || next.MS-l.MS > readyMost:
+				started, late, who = started+1, late+1, max(who, name)
+			} // else it was ended, or stopped, before it could be
+		}
+	}
+	if late*10 > started {
+		v.broke("ready", 0, who, "%d of %d processes were not ready within %.0f s of their start", late, started, readyMost/1000)
+	}
+}
+
 // faults: what a director sent that can't be used.
 func (r *record) faults(v *Verdict) {
 	for _, l := range r.lines {
--- a/internal/labcheck/check_test.go
+++ b/internal/labcheck/check_test.go
@@ -56,6 +56,11 @@
 	purge  = `{"ms":1000,"kind":"news","what":"purge","object":"o1","since":1000,"n":2}`
 	older  = `{"ms":3021,"kind":"done","who":"c1","director":"d0","ref":"r2","what":"OK","since":900}`
 	asked  = `{"ms":3000,"kind":"ask","ref":"r2","director":"d0","class":"media","object":"o1","allow":1000}`
+	ask3   = `{"ms":200,"kind":"ask","ref":"r3","director":"d0","class":"media","object":"o1","allow":1000}`
+	left   = `{"ms":250,"kind":"leave","ref":"r2","director":"d0","what":"close"}`
+	left3  = `{"ms":250,"kind":"leave","ref":"r3","director":"d0","what":"cancel"}`
+	start2 = `{"ms":100,"kind":"process","who":"d2","what":"start"}`
+	last   = `{"ms":20000,"kind":"lag","value":0}`
 	served = `{"ms":3030,"kind":"answer","ref":"r2","director":"d0","what":"served","since":900}`
 )
 
@@ -71,6 +76,12 @@
 		}
 		return l
 	}
+	each := func(n int, work float64) (l []string) {
+		for i := range n {
+			l = append(l, fmt.Sprintf(`{"ms":%d,"kind":"req","who":"c2","director":"d%d","ref":"x","work":%v}`, 500+i, 10+i, work))
+		}
+		return l
+	}
 	for _, c := range []struct {
 		name, without string
 		more          []string
@@ -119,6 +130,19 @@
 		{"the purge was just told", "", []string{`{"ms":2600,"kind":"news","what":"purge","object":"o1","since":2600,"n":2}`,
 			asked, req(3001, "c1"), older, served}, ""},
 		{"a copy since the purge", "", []string{purge, asked, req(3001, "c1"), strings.Replace(older, "900", "1001", 1), served}, ""},
+		{"begun after its client had gone, three times", "", append([]string{ask2, left}, req(361, "c1"), req(370, "c1"), req(380, "c1")), "left"},
+		{"begun after its client had gone, twice", "", append([]string{ask2, left}, req(361, "c1"), req(370, "c1")), ""},
+		{"begun just after its client had gone", "", append([]string{ask2, left}, req(320, "c1"), req(340, "c1"), req(349, "c1")), ""},
+		{"sent on though their clients left as they waited", "", []string{ask2, left, req(600, "c1"), ask3, left3,
+			strings.Replace(req(600, "c1"), "r2", "r3", 1)}, "left"},
+		{"one of them sent on", "", []string{ask2, left, req(600, "c1"), ask3, left3}, ""},
+		{"the client of one that is out leaves", "", []string{ask2, req(210, "c1"), left}, ""},
+		{"not ready in time", "", []string{start2, `{"ms":10200,"kind":"ready","who":"d2","value":10100}`, last}, "ready"},
+		{"never ready", "", []string{start2, last}, "ready"},
+		{"ready in time", "", []string{start2, `{"ms":9900,"kind":"ready","who":"d2","value":9800}`, last}, ""},
+		{"killed before it was ready", "", []string{start2, `{"ms":5000,"kind":"process","who":"d2","what":"kill"}`, last}, ""},
+		{"thirty directors with one call each", "", each(30, 0.4), "cold"},
+		{"twenty directors with one call each", "", each(20, 0.4), ""},
 		{"a crash", "", []string{`{"ms":4000,"kind":"process","who":"d1","what":"gone","class":"status 2"}`}, "crash"},
 		{"bad words", "", []string{`{"ms":4000,"kind":"fault","who":"c1","what":"can't use"}`}, "protocol"},
 	} {
@@ -177,6 +201,28 @@
 	}
 }
 
+// The share of the largest tenth is held against that of all reads; who left, and repayments, don't count.
+func TestShareOfTheLargest(t *testing.T) {
+	var more []string
+	for i := range 39 { // with r1 40 reads, four of which are the largest
+		ref := fmt.Sprintf("b%02d", i)
+		what := "served"
+		if i >= 37 || i%2 == 0 { // of the four largest (35 to 38), one is served
+			what = "refused"
+		}
+		more = append(more, fmt.Sprintf(`{"ms":300,"kind":"ask","ref":%q,"director":"d0","class":"media","object":"o9","allow":1000,"work":%d}`, ref, 1+i),
+			fmt.Sprintf(`{"ms":310,"kind":"answer","ref":%q,"director":"d0","what":%q}`, ref, what))
+	}
+	more = append(more, ask2, left)
+	f := judge(t, "", more...).Figures
+	if got, want := f["large_share"], (1.0/4)/(19.0/40); got != want {
+		t.Errorf("share of the largest %v, want %v", got, want)
+	}
+	if f["left"] != 1 {
+		t.Errorf("%v left, want 1", f["left"])
+	}
+}
+
 func TestWhatIsNoRecordIsAnError(t *testing.T) {
 	for _, text := range []string{"{", "{}", `{"ms":"x"}`} {
 		if _, err := Check(strings.NewReader(text)); err == nil || !strings.Contains(err.Error(), "line 1") {
--- a/internal/labcheck/figures.go
+++ b/internal/labcheck/figures.go
@@ -1,6 +1,7 @@
 package labcheck
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -9,7 +10,8 @@
 // FigureNames are the figures that a verdict has.
 var FigureNames = append([]string{"list_peak_ratio", "list_calls_per_start", "list_timeouts", "list_calls", "cold_budget_worst",
 	"origin_fetches_per_object", "origin_busy", "ready_ms_p99", "served_share", "served_share_all", "refused_share",
-	"attempts_per_request", "attempts_after", "conns_turned_away", "answer_ms_p50", "answer_ms_p99", "lag_ms_max", "requests"}, siteNames...)
+	"attempts_per_request", "attempts_after", "conns_turned_away", "answer_ms_p50", "answer_ms_p99", "lag_ms_max", "requests",
+	"large_share", "left"}, siteNames...)
 
 const (
 	firstSpan = 20_000.0 // of the load, that served_share counts
@@ -81,6 +83,8 @@
 		}
 	}
 	f["requests"] = requests
+	f["left"] = float64(len(r.left))
+	f["large_share"] = r.largeShare(asks)
 	r.siteFigures(f)
 	f["bound_share"] = over(f["served_share_loss"], f["served_share_bound"])
 	f["attempts_after"] = r.attemptsAfter(asks)
@@ -95,6 +99,29 @@
 	return f
 }
 
+// largeShare is the answered share of the tenth of all reads that want the largest objects, over that of all reads.
+func (r *record) largeShare(asks map[string]line) float64 {
+	var reads []line
+	for ref, q := range asks {
+		if _, left := r.left[ref]; q.Class != "repayment" && !left {
+			reads = append(reads, q)
+		}
+	}
+	slices.SortFunc(reads, func(a, b line) int {
+		return cmp.Or(cmp.Compare(b.Work, a.Work), cmp.Compare(a.Ref, b.Ref))
+	})
+	share := func(of []line) float64 {
+		served := 0.0
+		for _, q := range of {
+			if r.ends[q.Ref].What == "served" {
+				served++
+			}
+		}
+		return over(served, float64(len(of)))
+	}
+	return over(share(reads[:len(reads)/10]), share(reads))
+}
+
 // attemptsAfter is how many attempts a request takes once the last trouble has been over for a while.
 func (r *record) attemptsAfter(asks map[string]line) float64 {
 	end, attempts, requests := 0.0, 0.0, 0.0
