Make the life of a connection to a cache one explicit phase

caches.conn had its life in three places: link nil while it was dialled, spent, closed; each event asked for some of them. It is one phase now (dialling, up, dry, closed), changed in move, as for clients' connections. Ruled out on the way: counting a failed dial as held when connections are paced (its place in the order of Failed matters, TestPeerShortOfConnectionsIsNotAskedForMore).

--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -72,24 +72,34 @@
 	logAt   rules.Time // no line on it before
 }
 
-// conn is a connection: being dialled while link is nil.
+// phase is where a connection is in its life; docs/lifecycles.md tells what each event does in each. It only goes
+// forward, in move.
+type phase uint8
+
+const (
+	dialling phase = iota // attempts wait in line for it
+	up                    // it takes attempts
+	dry                   // it takes nothing new: what is open on it may end
+	closed                // it has nothing open, and is none of its peer's any more
+)
+
+// conn is a connection.
 type conn struct {
 	f      *Fleet
 	p      *peer
+	phase  phase
 	handle director.Handle
 	link   loop.Conn
 	parser parser
 	open   map[string]*call
 	line   []*call               // wait until it is up
 	ghosts map[string]rules.Time // ids given up here, or answered other than well: another answer may still come
-	up     rules.Time            // when it was opened
+	since  rules.Time            // when it was opened
 	asked  rules.Time            // first write since something was heard; 0: nothing is owed
 	used   rules.Time            // when it last took an attempt
 	rested rules.Time            // since when it has nothing open
 	spoilt bool                  // closed by us for what came on it
 	served int                   // answers that came
-	spent  bool                  // takes no new attempts
-	closed bool
 	idle   director.Entry
 }
 
@@ -147,7 +157,7 @@
 	for _, c := range append([]*conn(nil), p.conns...) {
 		// The news come late: what was opened since the start belongs to the new life already, and to
 		// close it would lose what is out.
-		if moved || (c.link != nil && c.up < started) {
+		if moved || (c.phase != dialling && c.since < started) {
 			c.shut()
 		}
 	}
@@ -189,14 +199,33 @@
 	c.put(k)
 }
 
+// move takes the connection on to a later phase; it is the one place where the phase changes.
+func (c *conn) move(to phase) {
+	if to <= c.phase {
+		return
+	}
+	c.phase = to
+	if to != closed {
+		return
+	}
+	f := c.f
+	f.agenda.Drop(&c.idle)
+	f.conns.Remove(c.handle)
+	c.parser.release()
+	c.p.conns = slices.DeleteFunc(c.p.conns, func(o *conn) bool { return o == c })
+	if c.p.left && len(c.p.conns) == 0 && f.peers[c.p.host] == c.p {
+		delete(f.peers, c.p.host)
+	}
+}
+
 // put gives an attempt to its connection, which writes it as soon as it is up and nothing is held.
 func (c *conn) put(k *call) {
-	if len(c.open) == 0 && c.link != nil {
+	if len(c.open) == 0 && c.phase != dialling {
 		k.gap = c.f.now() - c.rested
 	}
 	k.c, c.open[k.id], c.used = c, k, c.f.now()
 	c.f.agenda.Drop(&c.idle)
-	if c.link == nil || c.f.held {
+	if c.phase == dialling || c.f.held {
 		c.line = append(c.line, k)
 		return
 	}
@@ -208,7 +237,7 @@
 	line := c.line
 	c.line = nil
 	for _, k := range line {
-		if c.open[k.id] == k && !c.closed {
+		if c.open[k.id] == k && c.phase != closed {
 			k.frame()
 		}
 	}
@@ -223,7 +252,7 @@
 	f.held = false
 	var waiting []*conn
 	f.conns.All(func(_ director.Handle, c *conn) bool {
-		if c.link != nil && len(c.line) > 0 {
+		if c.phase != dialling && len(c.line) > 0 {
 			waiting = append(waiting, c)
 		}
 		return true
@@ -256,7 +285,7 @@
 		}
 	}
 	full := len(p.conns) >= f.limits.ConnsPerPeer
-	if once && full && best != nil && len(best.open) == 0 && best.link != nil {
+	if once && full && best != nil && len(best.open) == 0 && best.phase == up {
 		best.shut() // a new one takes its place
 		best, full = nil, false
 	}
@@ -276,7 +305,7 @@
 // opening is the number of connections being dialled.
 func (p *peer) opening() (n int) {
 	for _, c := range p.conns {
-		if c.link == nil {
+		if c.phase == dialling {
 			n++
 		}
 	}
@@ -289,8 +318,8 @@
 	switch {
 	case len(c.open) != len(o.open):
 		return len(c.open) < len(o.open)
-	case (c.link == nil) != (o.link == nil):
-		return c.link != nil
+	case (c.phase == dialling) != (o.phase == dialling):
+		return c.phase != dialling
 	}
 	return c.used > o.used
 }
@@ -302,7 +331,7 @@
 // all that was written: what comes behind would leave when the peer likes, past whatever calls it off.
 func (c *conn) usable(id string) bool {
 	f, now := c.f, c.f.now()
-	if _, taken := c.open[id]; taken || c.spent || c.closed || len(c.open) >= f.limits.StreamsPerConn {
+	if _, taken := c.open[id]; taken || c.phase > up || len(c.open) >= f.limits.StreamsPerConn {
 		return false
 	}
 	if at, ghost := c.ghosts[id]; ghost && now-at <= f.limits.PeerGhost {
@@ -311,7 +340,7 @@
 	if len(c.open) == 0 && c.parser.midway() {
 		return false // what comes next would be read as the rest of an answer that was given up
 	}
-	if len(c.open) == 0 && c.link != nil && now-c.rested > f.keep {
+	if len(c.open) == 0 && c.phase == up && now-c.rested > f.keep {
 		f.Counters.Stale++
 		c.shut()
 		return false
@@ -323,7 +352,7 @@
 		}
 		return false
 	}
-	if c.link != nil && c.link.OutboundBuffered() > 0 {
+	if c.phase == up && c.link.OutboundBuffered() > 0 {
 		f.Counters.Backlogged++
 		return false
 	}
@@ -339,7 +368,7 @@
 	}
 	var eldest *conn
 	f.conns.All(func(_ director.Handle, c *conn) bool {
-		if c.link != nil && len(c.open) == 0 && (eldest == nil || c.rested < eldest.rested) {
+		if c.phase == up && len(c.open) == 0 && (eldest == nil || c.rested < eldest.rested) {
 			eldest = c
 		}
 		return true
@@ -452,7 +481,7 @@
 	}
 	f.Counters.Stopped++
 	c.ghost(k.id)
-	if !c.closed {
+	if c.phase != closed {
 		b := appendBulk(appendBulk(appendArray(f.head[:0], 2), "STOP"), k.id)
 		f.head = b
 		if _, err := c.link.Writev([][]byte{b}); err != nil {
@@ -473,7 +502,7 @@
 			}
 		}
 		if len(c.ghosts) >= 4*c.f.limits.StreamsPerConn {
-			c.spent = true // gives up so much that it can't be told apart: let it run dry
+			c.move(dry) // gives up so much that it can't be told apart: let it run dry
 			return
 		}
 	}
@@ -490,9 +519,10 @@
 // Opened is the end of a dial.
 func (c *conn) Opened(link loop.Conn) {
 	c.f.files--
-	c.link, c.up, c.rested = link, c.f.now(), c.f.now()
-	c.p.pace.Opened(c.up, len(c.p.conns)-c.p.opening())
-	if c.closed {
+	c.link, c.since, c.rested = link, c.f.now(), c.f.now()
+	c.move(up)
+	c.p.pace.Opened(c.since, len(c.p.conns)-c.p.opening())
+	if c.phase == closed {
 		link.Close()
 		return
 	}
@@ -508,8 +538,9 @@
 	c.f.Counters.DialsFailed++
 	c.f.note(c.p, "connect failed", zap.Int("attempts_waiting", len(c.open)), zap.NamedError("cause", err))
 	line := c.line
-	c.line, c.spent = nil, true
+	c.line = nil
 	c.p.pace.Failed(c.f.now(), len(c.p.conns)-c.p.opening())
+	c.move(dry)
 	for _, k := range line {
 		if c.open[k.id] == k {
 			c.f.move(k, errors.Is(err, syscall.ECONNRESET))
@@ -531,7 +562,7 @@
 	from := k.c
 	to := (*conn)(nil)
 	for _, c := range slices.Clone(from.p.conns) {
-		if c.link != nil && c.usable(k.id) {
+		if c.phase == up && c.usable(k.id) {
 			to = c
 			break
 		}
@@ -552,16 +583,16 @@
 // Closed is the end of a connection: what was written may have run.
 func (c *conn) Closed() {
 	c.f.files--
-	if !c.closed {
+	if c.phase != closed {
 		c.f.Counters.Closed++
 		if len(c.open) > 0 {
-			c.f.note(c.p, "connection lost", zap.Duration("after", c.f.now()-c.up), zap.Int("answers", c.served),
+			c.f.note(c.p, "connection lost", zap.Duration("after", c.f.now()-c.since), zap.Int("answers", c.served),
 				zap.Int("attempts_out", len(c.open)))
 		}
 		if !c.spoilt {
 			c.f.crossed(c)
 		}
-		if c.served == 0 && !c.spoilt && c.f.now()-c.up < turnedAway { // accepted only to be closed: a peer that is full
+		if c.served == 0 && !c.spoilt && c.f.now()-c.since < turnedAway { // accepted only to be closed: a peer that is full
 			c.p.pace.Failed(c.f.now(), len(c.p.conns)-c.p.opening()-1)
 		}
 	}
@@ -593,30 +624,18 @@
 
 // shut closes a connection from our side; what is open on it is given up.
 func (c *conn) shut() {
-	if link := c.link; link != nil && !c.closed {
+	if link := c.link; link != nil && c.phase != closed {
 		link.Close()
 	}
 	c.gone(rules.Reset)
 }
 
 func (c *conn) gone(result rules.Result) {
-	if c.closed {
+	if c.phase == closed {
 		return
 	}
-	c.closed = true
+	c.move(closed)
 	f := c.f
-	f.agenda.Drop(&c.idle)
-	f.conns.Remove(c.handle)
-	c.parser.release()
-	for i, o := range c.p.conns {
-		if o == c {
-			c.p.conns = append(c.p.conns[:i], c.p.conns[i+1:]...)
-			break
-		}
-	}
-	if c.p.left && len(c.p.conns) == 0 && f.peers[c.p.host] == c.p {
-		delete(f.peers, c.p.host)
-	}
 	for _, k := range c.open {
 		r := result
 		if !k.written {
@@ -630,10 +649,10 @@
 // rest closes a connection that has nothing open: at once where it is not to be used again, else after the
 // idle time.
 func (c *conn) rest() {
-	if len(c.open) > 0 || c.closed {
+	if len(c.open) > 0 || c.phase == closed {
 		return
 	}
-	if c.spent || c.p.left {
+	if c.phase == dry || c.p.left {
 		c.shut()
 		return
 	}
@@ -656,7 +675,7 @@
 	if c.asked == 0 && len(c.open) > 0 {
 		c.asked = c.f.now()
 	}
-	if c.closed {
+	if c.phase == closed {
 		c.parser.release() // closed by what an answer brought about, with the next one begun
 	} else if err == nil {
 		c.rest()
