Directors started anew do not begin their shares of a cold cache's budget again

Cause: rules.member gives each router a random part of a call as spent, so that all who hear of a start at once don't send at once. For a router that has just started that call was taken for a quarter of the aim (guessWork), a fifth of what it took, so that all were through with it within a second or two.

Change: the call is taken for the longest aim of all classes, or what was learnt where that is more. TestRestartedRoutersDoNotBeginTheirSharesAgain fails without it.

Ruled out: the guess itself (limits begin with it, and a larger one was not measured); shares by the rate alone, as the sum over all is half of the budget once each has sent its first call.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -62,6 +62,7 @@
 		sites: siteview.New(siteview.Config{Names: s.Zones, Own: s.Zone, Hub: s.Family.HubByZone[s.Zone]})}
 	for _, c := range s.Services { // sending is a part of the aim, or nothing would be in time
 		aim := c.Aim.Seconds()
+		d.slowest = max(d.slowest, aim)
 		d.classes = append(d.classes, classStats{pacing.Guess(aim * guessWork), pacing.Guess(aim)})
 	}
 	return d, nil
@@ -187,7 +188,8 @@
 	}
 	if e.Started != 0 && e.Started != s.Started {
 		s.cold = e.Started
-		s.spent.Spend(d.rng.Float64()*d.largest() - s.spent.Spent(d.now, 0)) // all hear at once
+		owes := max(d.largest(), d.slowest) // all hear at once; who is new has not seen what a call takes
+		s.spent.Spend(d.rng.Float64()*owes - s.spent.Spent(d.now, 0))
 	}
 	f, g := &d.s.Family, &d.s.Guarantees
 	s.Member, s.listed, s.seats = e, e.State != Gone, float64(max(d.s.Balancers, 1))
@@ -633,8 +635,7 @@
 	return a.target, &a.target.to
 }
 
-// lost tells that an attempt is overdue by more than its size and the cache's pace explain, while what was
-// sent after it has come in time over the same way: it never arrived, or its answer was lost.
+// lost: overdue beyond its size and the cache's pace, while what was sent after it came the same way in time.
 func (d *Router) lost(a *attempt) bool {
 	_, side := blamed(a)
 	should := a.told
@@ -835,8 +836,7 @@
 	d.sweep()
 }
 
-// again asks the cache of an attempt that is lost once more, only for what it holds. A copy that brings the
-// answer earns the next ones: losses pay for themselves, a crowd ends them. Harm: some objects go twice.
+// again asks the cache of a lost attempt once more, for what it holds. Copies that bring answers earn more.
 func (d *Router) again(a *attempt) {
 	r, t := d.reqs[a.id], a.target
 	if !d.s.Ceilings.SecondCopies || d.s.Services[a.class].Effect != "read_like" || r == nil || a.look ||
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -722,6 +722,66 @@
 	}
 }
 
+// Directors that are started anew know of a cold cache from their list, and nothing of what they sent it before, nor of
+// how long an object takes: all of them together must not begin their shares again. What reaches the cache in the time
+// of a fall stays within its budget of N calls and chance, where N is far smaller than the number of directors.
+func TestRestartedRoutersDoNotBeginTheirSharesAgain(t *testing.T) {
+	for _, seats := range []int{30, 300} {
+		for seed := range uint64(5) {
+			s := siteSettings()
+			s.Balancers, s.Family.SeatsByZone, s.Family.FlowKBPerS = seats, []int{0, seats, 0}, 1000
+			s.Services[0].Aim, s.Services[1].Aim = 400*ms, 250*ms
+			const size, weight = 500.0, 20.0 // an object takes 0.5 s, about as long as the aim
+			start := 100 * time.Second
+			now := start + time.Second
+			var routers []*Router
+			for i := range uint64(seats) {
+				r, err := New(s, seed*1000+i)
+				if err != nil {
+					t.Fatal(err)
+				}
+				list := siteMembers(3)
+				for j := range list {
+					if list[j].Host == hostEdge {
+						list[j].Started, list[j].Weight = start, weight
+					}
+				}
+				r.Handle(now, Members{Kind: Cached, List: list})
+				routers = append(routers, r)
+			}
+			var calls []Time
+			for step := range 60 {
+				for i, r := range routers {
+					id := uint32(step*seats + i + 1)
+					for _, a := range r.Handle(now, Request{ID: id, Object: uint64(id), GiveUpAt: now + 4*time.Second, SizeKB: size}) {
+						if f, ok := a.(Fetch); ok && f.Host == hostEdge {
+							calls = append(calls, now)
+						}
+					}
+				}
+				now += s.Guarantees.Fall / 10
+			}
+			worst := 0.0
+			for i, at := range calls {
+				n := 0
+				for _, b := range calls[i:] {
+					if b < at+s.Guarantees.Fall {
+						n++
+					}
+				}
+				g := s.Guarantees
+				share := g.ColdFrom + (1-g.ColdFrom)*float64(at-start)/float64(g.Cold)
+				allowed := g.TipMultiple * share * weight * g.Fall.Seconds() / (size / 1000)
+				worst = max(worst, float64(n)/(allowed+2*math.Sqrt(allowed)+2))
+			}
+			t.Logf("%d directors, seed %d: %d calls, %.2f of what may come by chance", seats, seed, len(calls), worst)
+			if worst > 1 || len(calls) < 10 {
+				t.Errorf("%d directors, seed %d: %d calls, %.2f times what may come by chance in a span", seats, seed, len(calls), worst)
+			}
+		}
+	}
+}
+
 // A repeat of a keyed request must have been written, with room for the way, before the window of the first attempt that
 // may have run has ended; the window is counted from that attempt, not from a later one, and not from one that
 // provably never ran.
--- a/rules/state.go
+++ b/rules/state.go
@@ -139,6 +139,7 @@
 	cur, prev     map[objectPart]*entry // the table's two generations
 	purges        map[purgeKey]purge
 	classes       []classStats
+	slowest       float64     // the longest aim, in seconds: what a call may take while none was seen
 	pace          float64     // of the fastest of our caches
 	copies        float64     // second copies that may be sent
 	waited        pacing.Mean // seconds that fills by the origin wait for their first byte, a running mean
