--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -289,7 +289,9 @@
 	}
 	d.Counters.Withdrawn++
 	d.finish(r)
-	d.recall(func(a *attempt, of *request) bool { return of == r })
+	for _, out := range r.out {
+		d.takeBack(out)
+	}
 	d.post(event{rules.Expired{ID: uint32(h)}, r})
 }
 
@@ -317,30 +319,32 @@
 	}
 }
 
-// recall takes back the attempts of which nothing has been written and that something has overtaken since they were
-// decided: they may wait for a connection for longer than the rules leave. They never ran, and the router
-// decides anew.
+// recall takes back the attempts of which nothing has been written and that news have overtaken since they were
+// decided: they may wait for a connection for longer than the rules leave. The router decides anew.
 func (d *Director) recall(overtaken func(*attempt, *request) bool) {
-	type found struct {
-		h Handle
-		a *attempt
-		r *request
-	}
-	var list []found
+	var list []Handle
 	d.attempts.All(func(h Handle, a *attempt) bool {
 		if r, ok := d.requests.Get(a.req); ok && overtaken(a, r) {
-			list = append(list, found{h, a, r})
+			list = append(list, h)
 		}
 		return true
 	})
-	for _, f := range list {
-		if _, still := d.attempts.Get(f.h); still && d.peers.Recall(f.h) {
-			d.Counters.Recalled++
-			d.close(f.h, f.a, f.r, Ending{Result: rules.Moot})
-		}
+	for _, h := range list {
+		d.takeBack(h)
 	}
 }
 
+// takeBack gives an attempt up if nothing of it has been written: it never ran.
+func (d *Director) takeBack(h Handle) {
+	a, ok := d.attempts.Get(h)
+	if !ok || !d.peers.Recall(h) {
+		return
+	}
+	d.Counters.Recalled++
+	r, _ := d.requests.Get(a.req)
+	d.close(h, a, r, Ending{Result: rules.Moot})
+}
+
 const mostLogged = 8 // entries of one event
 
 // Members takes a change of the list of servers; full: what is not in it has gone.
