Close clients that never read their last answer, and wait for long requests on bad streams

And a failing connection was shut after 30 s even where a request with a longer allowance was open on it.

Change: with nothing open, 30 s since the last answer or message are the end, whatever is unread; a failing connection has no time of its own, as what is open on it ends by its own. TestWhoNeverReadsIsClosed fails without each (three mutations).

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -166,7 +166,8 @@
 	switch to {
 	case failing:
 		s.Counters.Failing++
-		s.agenda.Set(&x.idle, s.now()+s.limits.ClientIdle, x.shut)
+		s.agenda.Drop(&x.idle) // what is open ends by its own time
+		x.settle()
 	case lingering:
 		s.Counters.Lingering++
 		s.lingers = append(s.lingers, x)
@@ -200,6 +201,8 @@
 func (x *Session) settle() {
 	switch {
 	case x.phase != failing || len(x.open) > 0:
+	case x.c.OutboundBuffered() > 0 && x.s.now()-x.lastUse >= x.s.limits.ClientIdle:
+		x.shut()
 	case x.c.OutboundBuffered() > 0: // nothing tells when it has gone out
 		x.s.agenda.Set(&x.idle, x.s.now()+x.s.limits.FlushCheck, x.settle)
 	default:
@@ -254,7 +257,7 @@
 func (x *Session) watch() {
 	l := x.s.limits
 	due := x.lastUse + l.ClientIdle
-	if x.busy() {
+	if len(x.open) > 0 {
 		due = x.s.now() + l.ClientIdle
 	}
 	if x.begun != 0 {
@@ -264,8 +267,12 @@
 		switch now := x.s.now(); {
 		case x.begun != 0 && now-x.begun >= l.ClientMessage:
 			x.s.Counters.Mute++
-		case !x.busy() && now-x.lastUse >= l.ClientIdle:
+		case len(x.open) == 0 && now-x.lastUse >= l.ClientIdle:
 			x.s.Counters.Idle++
+			if x.busy() { // it has not read its last answer in all that time
+				x.shut()
+				return
+			}
 		default:
 			x.watch()
 			return
--- a/internal/clients/phases_test.go
+++ b/internal/clients/phases_test.go
@@ -143,3 +143,31 @@
 		t.Errorf("%d taken, %d withdrawn; want 2 and 2", len(b.taken), b.withdrawn)
 	}
 }
+
+// A client that never reads its last answer, and never closes, does not hold its place for good: neither one that is served
+// as ever nor one whose stream went bad.
+func TestWhoNeverReadsIsClosed(t *testing.T) {
+	for _, bad := range []bool{false, true} {
+		b := lasting()
+		w := &nettest.Link{}
+		x := b.s.Accept(w)
+		x.Data(submission(1))
+		if bad {
+			x.Data([]byte("\xff\xff\xff\xff"))
+		}
+		b.pass(40 * time.Second) // what waits for its answer waits for as long as that takes
+		if w.Closed || b.withdrawn != 0 {
+			t.Fatalf("bad %v: closed %v, %d withdrawn while an answer was owed", bad, w.Closed, b.withdrawn)
+		}
+		w.Unread = 100
+		b.served(0)
+		b.pass(29 * time.Second)
+		if w.Closed {
+			t.Errorf("bad %v: closed within 29 s", bad)
+		}
+		b.pass(2 * time.Second)
+		if !w.Closed || b.s.Conns() != 0 {
+			t.Errorf("bad %v: closed %v, %d connections after 31 s", bad, w.Closed, b.s.Conns())
+		}
+	}
+}
