New configurations no longer put the next call of the list service off without end

Seen: a test that plays a list service which does everything badly in drawn orders (TestEventsComeOnceInOrderWhateverHappens) found a follower without a stream for 15 s and more: with no stream up, and a call due in 1 s, SIGHUPs that name other services came every few hundred milliseconds, each setting the call anew and taking a token of the budget for a call that was never made.

Cause: feed.Redirect set the next call by ListCalls.Move whatever was due, also where it was told of the address to which it was about to go anyway.

Change: while a move is due, only its address changes; a call that was due before comes no later for it.

Ruled out: the stream that ends while the next is dialled (that dial replaces it); the service that counts anew (its list is told whole).

--- a/internal/director/agenda.go
+++ b/internal/director/agenda.go
@@ -46,6 +46,9 @@
 	return e
 }
 
+// Pending tells whether e is in an Agenda.
+func (e *Entry) Pending() bool { return e.index > 0 }
+
 // Set puts e in at a time, or moves it there; run is called once when that time has come.
 func (a *Agenda) Set(e *Entry, at rules.Time, run func()) {
 	a.Drop(e)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -173,14 +174,24 @@
 }
 
 // Redirect goes over to the feed at another address, behind the last event taken. All directors are told to do so
-// at once: each goes when it is its turn, and follows the old feed until then.
+// at once: each goes when it is its turn, and follows the old feed until then. A call that was due before is made all the
+// same, and told again, only the address changes: however often it is told, the next call comes no later.
 func (f *Follower) Redirect(address string) {
-	if address == f.address && f.moveTo == "" {
+	due := f.moveTo != ""
+	if address == cmp.Or(f.moveTo, f.address) {
 		return
 	}
 	f.moveTo = address
 	f.Counters.Redirects++
-	f.agenda.Set(&f.again, f.calls.Move(f.now()), f.dial)
+	if due {
+		return
+	}
+	at := f.calls.Move(f.now())
+	if f.again.Pending() {
+		at = min(at, f.callAt)
+	}
+	f.callAt = at
+	f.agenda.Set(&f.again, at, f.dial)
 }
 
 // Paused gives a stream that is up its time anew: while the process stood still it could not read what came.
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -291,6 +291,25 @@
 	}
 }
 
+// Operators may name one service after another, or the same again: the next call is put off by none of that.
+func TestOrdersToMoveDoNotPutTheCallOff(t *testing.T) {
+	for _, names := range []string{"bc", "b"} {
+		b := started(t, 300)
+		b.open()
+		b.dials[0].Closed() // called again within 1.5 s
+		for i := range 20 {
+			b.f.Redirect(string(names[i%len(names)]))
+			b.pass(100 * time.Millisecond)
+			if len(b.dials) > 1 {
+				break
+			}
+		}
+		if len(b.dials) < 2 {
+			t.Errorf("no call in 2 s, told to move to %q again and again", names)
+		}
+	}
+}
+
 // A list that breaks off half-way has told nothing; the next call comes behind the last whole event.
 func TestHalfAListIsNoList(t *testing.T) {
 	b := started(t, 1)
