Let the program be told to end in the drawn orders of events

Every second seed of TestAnythingInAnyOrder is told to end (EndBy) amid everything else: what is in hand and what still comes is answered by then.

--- a/cmd/shaleyard/anyorder_test.go
+++ b/cmd/shaleyard/anyorder_test.go
@@ -44,6 +44,7 @@
 	asked   map[string]*asked
 	states  map[string]rules.State
 	held    bool
+	last    rules.Time // when all is to be answered; 0: it goes on
 	refs    int
 	served  int
 	log     []string
@@ -386,6 +387,9 @@
 	ref, class := fmt.Sprintf("%016x", c.refs), []string{"read", "read", "pay", "keyed"}[c.rng.IntN(4)]
 	allow := 100 + c.rng.IntN(1900)
 	a := &asked{class: class, by: e, seq: e.seq, due: c.clock + time.Duration(allow)*time.Millisecond + 30*time.Millisecond}
+	if c.last != 0 {
+		a.due = max(min(a.due, c.last+30*time.Millisecond), c.clock+time.Millisecond)
+	}
 	c.asked[ref] = a
 	if e.bad || e.half {
 		a.gone = true // nothing is taken there any more
@@ -486,6 +490,24 @@
 		for _, e := range c.clients {
 			e.Unread = 0
 		}
+		if seed%2 == 0 { // the program is told to end
+			last := c.clock + 300*time.Millisecond
+			c.last = last
+			c.d.EndBy(last)
+			for _, a := range c.asked {
+				a.due = min(a.due, last+30*time.Millisecond)
+			}
+		}
+		for range 100 {
+			if c.step(); c.held {
+				c.held = false
+				c.d.Release(false)
+				c.agenda.Run(c.clock)
+			}
+		}
+		for _, e := range c.clients {
+			e.Unread = 0
+		}
 		c.s.Part()
 		for range 100 { // to the end: dials fail, closes are carried out, time passes
 			for _, e := range c.dials {
