Show that a connection accepted as the program parts gets its refusal

TestStopAnswersWhatHangs opens a connection behind the time for new work: its request is refused, not closed upon. With the linger of the clients that wait, however slow the machine is. The program is as it was.

--- a/cmd/shaleyard/stories_test.go
+++ b/cmd/shaleyard/stories_test.go
@@ -630,7 +630,8 @@
 // and a request that still comes is refused at once.
 func TestStopAnswersWhatHangs(t *testing.T) {
 	s := launch(t, 1024, io.Discard, func(l *config.Limits) {
-		l.DrainAccept, l.DrainAnswer, l.DrainMost = 10*time.Millisecond, 300*time.Millisecond, 10*time.Second
+		l.DrainAccept, l.DrainAnswer, l.DrainMost = 10*time.Millisecond, 300*time.Millisecond, 20*time.Second
+		l.PartGrace, l.ClientLinger = 10*time.Second, 10*time.Second // however late the test's own request comes
 	})
 	cl, second := s.client(), s.client()
 	second.Heartbeat(1)
@@ -646,6 +647,12 @@
 	if r := cl.Reply(); r.Seq != 2 || r.Field != 1 {
 		t.Errorf("behind the time for new work: %+v, want request 2 refused", r)
 	}
+	late := s.client() // accepted, and not read yet, as the program parts
+	late.Submit(1, "", fields("media", ref2)...)
+	if r := late.Reply(); r.Seq != 1 || r.Field != 1 {
+		t.Errorf("on a new connection: %+v, want its request refused", r)
+	}
+	late.Close()
 	if r := cl.Reply(); r.Seq != 1 || r.Field != 1 {
 		t.Errorf("at a cache that hangs: %+v, want request 1 refused", r)
 	}
