Give runs of the laboratory side by side addresses of their own

Seen: list-down failed once, under the race detector with a bench beside it: 'list service: listen tcp 127.175.48.15:33467: bind: address already in use'. Some 28,000 ports and a few hundred listeners: about one run in two hundred.

Change: the byte follows from the run's folder and the process. TestRunsHaveAddressesOfTheirOwn. Ruled out: a listener that closes late (it was down for 10 s), connections' own ports (they come from 127.0.0.1).

--- a/internal/lab/fleet_test.go
+++ b/internal/lab/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -116,6 +117,17 @@
 	}
 }
 
+// Runs side by side keep apart by their folders, also in one process.
+func TestRunsHaveAddressesOfTheirOwn(t *testing.T) {
+	seen := map[byte]bool{}
+	for i := range 40 {
+		seen[network(fmt.Sprintf("/tmp/run/%03d", i))] = true
+	}
+	if len(seen) < 30 { // of 200: chance leaves 36 in the mean
+		t.Errorf("%d networks for 40 runs", len(seen))
+	}
+}
+
 // A bad experiment is an error that names the file, the line and the key, before anything starts.
 func TestBadExperimentsAreNamed(t *testing.T) {
 	for text, want := range map[string]string{
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -56,7 +56,7 @@
 // Run plays an experiment and leaves its record in Dir/record.jsonl. All processes are gone when it returns,
 // also when ctx ends it early or it panics.
 func Run(ctx context.Context, x *Experiment, o Options) (err error) {
-	l := &Lab{x: x, binary: o.Binary, dir: o.Dir, rng: rand.New(rand.NewPCG(x.Seed, 1)), net: byte(16 + os.Getpid()%200),
+	l := &Lab{x: x, binary: o.Binary, dir: o.Dir, rng: rand.New(rand.NewPCG(x.Seed, 1)), net: network(o.Dir),
 		faults: newFaults(), servers: map[string]*server{}, starter: newStarter()}
 	if l.record, err = newRecorder(filepath.Join(o.Dir, "record.jsonl")); err != nil {
 		return err
@@ -81,6 +81,14 @@
 }
 
 // ip is an address on loopback: each group, and each member of it, has its own.
+// network is the second byte of a run's addresses. It follows from the run's folder, as runs side by side in one process
+// would else share addresses: what one takes down, another could take the port of.
+func network(dir string) byte {
+	h := fnv.New32a()
+	_, _ = fmt.Fprint(h, dir, os.Getpid())
+	return byte(16 + h.Sum32()%200)
+}
+
 func (l *Lab) ip(group, n int) net.IP { return net.IPv4(127, l.net, byte(group<<4|n>>8), byte(n)) }
 
 func (l *Lab) fail(err error) {
