Where second copies are not allowed, the next attempt waits until the last one is called off

Cause: an attempt is out until its end is written or it is given up. Where it is called off (a source or cache is ejected, a look times out), or its connection is closed by us, the router sent the next one in the same moment, over another connection, as the id is kept off the old one: it can be there before the STOP or the close is (rules.outcome).

TestNextAttemptDoesNotOvertakeTheStop fails without.

Ruled out: two attempts by the module's own count (send looks at out); answers taken for others (ids stay off their connections); clients that send again over a close of ours (nothing is taken behind a half-close).

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -452,8 +452,8 @@
 	case r.out > 0:
 	case d.now >= r.GiveUpAt, turnedAway(o) && !d.repeats.May(d.now, r.passOn):
 		d.end(r)
-	case d.lesson(r, a, o):
-		d.hold(r)
+	case d.lesson(r, a, o), a.mayRun && o.Result != Errored && !d.s.Ceilings.SecondCopies:
+		d.hold(r) // also where what calls an attempt off may be overtaken: two would be out at once
 	default:
 		d.advance(r)
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -782,6 +782,36 @@
 	}
 }
 
+// Found on zone+brink of map-tiles, where no second copies are allowed: an attempt that is called off is out until its
+// cache hears of that, and the next one, over another connection, came there before. It waits for a moment; where second
+// copies are allowed, and behind an answer, it leaves at once.
+func TestNextAttemptDoesNotOvertakeTheStop(t *testing.T) {
+	for _, c := range []struct {
+		copies bool
+		result Result
+		atOnce bool
+	}{{false, Cancelled, false}, {false, Reset, false}, {false, TimedOut, false}, {true, Cancelled, true}, {true, Reset, true},
+		{false, ConnectFailed, true}, {false, Moot, true}, {false, Errored, true}} {
+		w := simpleWorld(t, func(s *Settings) { s.Ceilings.SecondCopies = c.copies })
+		w.r.Handle(w.now, Request{ID: 900, Object: 42, GiveUpAt: w.now + 4*time.Second})
+		a := w.r.reqs[900].tries[0]
+		left := func(acts []Action) bool {
+			return slices.ContainsFunc(acts, func(a Action) bool { _, ok := a.(Fetch); return ok })
+		}
+		w.now += 20 * ms
+		if got := left(w.r.Handle(w.now, Outcome{ID: 900, Host: a.target.Host, Result: c.result, After: 20 * ms})); got != c.atOnce {
+			t.Errorf("second copies %v, %v: the next attempt left at once %v, want %v", c.copies, c.result, got, c.atOnce)
+		}
+		if c.atOnce {
+			continue
+		}
+		w.now += 2 * holdFor
+		if !left(w.r.Handle(w.now, Timer{Token: requestTimer | 900})) {
+			t.Errorf("second copies %v, %v: no further attempt", c.copies, c.result)
+		}
+	}
+}
+
 // A repeat of a keyed request must have been written, with room for the way, before the window of the first attempt that
 // may have run has ended; the window is counted from that attempt, not from a later one, and not from one that
 // provably never ran.
