Count attempts out in the drawn orders of events, where second copies are not allowed

Every third seed of TestAnythingInAnyOrder allows no second copies, and what calls an attempt off takes 20 ms to its cache.

--- a/cmd/shaleyard/anyorder_test.go
+++ b/cmd/shaleyard/anyorder_test.go
@@ -43,6 +43,7 @@
 	closing []func() // closes that the loop carries out later
 	asked   map[string]*asked
 	states  map[string]rules.State
+	single  bool // no second copies are allowed
 	held    bool
 	last    rules.Time // when all is to be answered; 0: it goes on
 	refs    int
@@ -55,11 +56,12 @@
 	class   string
 	by      *clientEnd
 	seq     int32
-	due     rules.Time // when an answer is owed at the latest
-	gone    bool       // revoked, or its client has gone
-	over    bool       // answered
-	mayRun  int        // attempts that may have run
-	firstAt rules.Time // when the first of those was written
+	due     rules.Time               // when an answer is owed at the latest
+	gone    bool                     // revoked, or its client has gone
+	over    bool                     // answered
+	mayRun  int                      // attempts that may have run
+	firstAt rules.Time               // when the first of those was written
+	out     map[*cacheEnd]rules.Time // attempts out, and until when: what calls them off takes its way
 }
 
 type cacheEnd struct {
@@ -105,6 +107,7 @@
 	words := strings.Split(string(joined(pieces)), "\r\n")
 	switch words[2] {
 	case "STOP":
+		c.asked[words[4]].off(e)
 		return 1, nil
 	case "REQ":
 	default:
@@ -134,6 +137,12 @@
 	case a.class == "keyed" && a.mayRun > 0 && c.clock >= a.firstAt+700*time.Millisecond:
 		c.failf("%s was repeated %v after it may first have run", ref, c.clock-a.firstAt)
 	}
+	for _, until := range a.out {
+		if c.single && c.clock < until {
+			c.failf("%s got a second copy, which is not allowed", ref)
+		}
+	}
+	a.out[e] = 1 << 62
 	if a.mayRun++; a.mayRun == 1 {
 		a.firstAt = c.clock
 	}
@@ -141,8 +150,21 @@
 	return 1, nil
 }
 
+// wayTakes is for how long an attempt that is called off may still be out.
+const wayTakes = 20 * time.Millisecond
+
+// off has an attempt called off on a connection.
+func (a *asked) off(e *cacheEnd) {
+	if _, out := a.out[e]; out {
+		a.out[e] = min(a.out[e], e.c.clock+wayTakes)
+	}
+}
+
 // Close implements loop.Conn; it takes effect later.
 func (e *cacheEnd) Close() error {
+	for _, a := range e.c.asked {
+		a.off(e)
+	}
 	if !e.ended {
 		e.c.closing = append(e.c.closing, e.end)
 	}
@@ -152,6 +174,9 @@
 func (e *cacheEnd) end() {
 	if !e.ended {
 		e.ended = true
+		for _, a := range e.c.asked {
+			delete(a.out, e)
+		}
 		e.stream.Closed()
 	}
 }
@@ -240,6 +265,9 @@
 		PeerConns: 16, DialRoom: 4, ConnsPerPeer: 3, StreamsPerConn: 4, ConnectTimeout: time.Second, PeerIdle: 3 * time.Second,
 		PeerKeepLeast: 50 * time.Millisecond, PeerSilence: time.Second, PeerGhost: 5 * time.Second, AnswerBody: 2000, AnswerFields: 500}
 	now := func() rules.Time { return c.clock }
+	if c.single = seed%3 == 0; c.single {
+		s.Ceilings.SecondCopies = false
+	}
 	var err error
 	if c.d, err = director.New(s, seed, l, &c.agenda, now, zap.NewNop()); err != nil {
 		t.Fatal(err)
@@ -386,7 +414,7 @@
 	e.seq++
 	ref, class := fmt.Sprintf("%016x", c.refs), []string{"read", "read", "pay", "keyed"}[c.rng.IntN(4)]
 	allow := 100 + c.rng.IntN(1900)
-	a := &asked{class: class, by: e, seq: e.seq, due: c.clock + time.Duration(allow)*time.Millisecond + 30*time.Millisecond}
+	a := &asked{out: map[*cacheEnd]rules.Time{}, class: class, by: e, seq: e.seq, due: c.clock + time.Duration(allow)*time.Millisecond + 30*time.Millisecond}
 	if c.last != 0 {
 		a.due = max(min(a.due, c.last+30*time.Millisecond), c.clock+time.Millisecond)
 	}
@@ -452,7 +480,7 @@
 	ref := e.waiting[i]
 	e.waiting = append(e.waiting[:i], e.waiting[i+1:]...)
 	a := c.asked[ref]
-	answered := func() { e.done = append(e.done, ref) }
+	answered := func() { e.done = append(e.done, ref); delete(a.out, e) }
 	neverRan := func() { a.mayRun--; answered() }
 	switch k := c.rng.IntN(20); {
 	case k < 10:
