Call the list service again soon after the first break of a young stream

Cause: ListCalls.Next gave a break the short way back only where the stream had been good for 3 s; else it waited for half to all of 1.5 s, with purges binding after 0.5 s. A line that can't be used counted so whatever the stream was before (feed.Data). The pace was so before this work.

Change: the first such break in a row goes the short way (its place in 0.4 s), the next ones wait as before; the budget of calls bounds both. A bad line on a stream that was good until then is a break. TestFirstBreakOfAYoungStreamIsMendedSoon and TestBadLineOnAGoodStreamIsMendedSoon fail without.

Ruled out: purges overtaken while attempts wait (taken back and decided anew); caps (they are counted from the decision, which is the strict side).

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -263,11 +263,15 @@
 	if s.f.stream == s {
 		s.f.Counters.Losses++
 	}
+	s.f.retry(s, s.broken())
+}
+
+// broken is what the end of the stream means, by itself or for a line that can't be used: it was good until then, or not.
+func (s *stream) broken() pacing.End {
 	if s.spoke {
-		s.f.retry(s, pacing.Broke)
-		return
+		return pacing.Broke
 	}
-	s.f.retry(s, pacing.Unfit)
+	return pacing.Unfit
 }
 
 // silent is what silence on the stream means.
@@ -307,7 +311,7 @@
 		if err := s.f.take(line, s); err != nil {
 			s.f.Counters.BadLines++
 			s.f.log.Warn("feed line can't be used", zap.String("feed", s.f.address), zap.Error(err))
-			s.f.retry(s, pacing.Unfit)
+			s.f.retry(s, s.broken())
 			return err
 		}
 		s.line = s.line[:0]
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -291,6 +291,22 @@
 	}
 }
 
+// A line that can't be used on a stream that was good until then is a break: the events behind it are asked for at once,
+// also where the stream was young, as a purge may be among them.
+func TestBadLineOnAGoodStreamIsMendedSoon(t *testing.T) {
+	b := started(t, 300)
+	b.open()
+	b.dials[0].Data([]byte(ready + "\n"))
+	b.dials[0].Data([]byte("{\"n\":2,\"pur\n"))
+	b.pass(400 * time.Millisecond)
+	if len(b.dials) != 2 {
+		t.Fatalf("%d dials 0.4 s after a bad line, want 2", len(b.dials))
+	}
+	if got := b.open().Text.String(); got != "SUB 1\n" {
+		t.Errorf("resumed with %q", got)
+	}
+}
+
 // Operators may name one service after another, or the same again: the next call is put off by none of that.
 func TestOrdersToMoveDoNotPutTheCallOff(t *testing.T) {
 	for _, names := range []string{"bc", "b"} {
--- a/internal/pacing/list.go
+++ b/internal/pacing/list.go
@@ -164,6 +164,9 @@
 		return c.spend(now, c.place(now, c.back))
 	case e == Refused:
 		return c.spend(now, c.jitter(c.window(c.soon/4, c.soon), 0))
+	case e == Broke && c.failures == 1: // once, a stream that was good for a moment is replaced like one that was for long
+		c.breaks++
+		return c.spend(now, c.place(now, c.back))
 	case e == Unfit || e == Broke:
 		return c.spend(now, c.jitter(c.soon, 0.5))
 	}
--- a/internal/pacing/list_test.go
+++ b/internal/pacing/list_test.go
@@ -183,3 +183,21 @@
 		t.Errorf("%d failures after a settled stream", c.Failures())
 	}
 }
+
+// A stream that breaks soon after it was opened leaves purges unheard as one that was good for long does, and is replaced
+// as soon. One that does so again is a service that flaps, and is not called at once each time.
+func TestFirstBreakOfAYoungStreamIsMendedSoon(t *testing.T) {
+	for seed := range uint64(50) {
+		c := NewListCalls(bounds(300, int(seed)), seed)
+		now := c.Start(1000 * time.Second)
+		for i, most := range []time.Duration{c.Back(), 1500 * time.Millisecond, 1500 * time.Millisecond} {
+			c.Good(now + 10*time.Millisecond)
+			now += 500 * time.Millisecond
+			next := c.Next(now, Broke)
+			if wait := next - now; wait > most || (i > 0 && wait < 750*time.Millisecond) {
+				t.Errorf("seed %d: %v after break %d of a young stream, %v at most", seed, wait, i+1, most)
+			}
+			now = next
+		}
+	}
+}
