A young stream of the list service that falls silent is a break, not an overloaded service

Cause: ListCalls.Next took the silence of a stream that had been good for less than 3 s as a time-out, whose window grows with each failure past the 2 s in which a drain must be heard. It was so before this work.

Change: such a stream was served; its silence is paced as a break: at once the first time in a row, within 1.5 s after that. TestYoungStreamsThatFallSilentAreNoTimeOuts fails without (mutation).

--- a/internal/pacing/list.go
+++ b/internal/pacing/list.go
@@ -164,10 +164,10 @@
 		return c.spend(now, c.place(now, c.back))
 	case e == Refused:
 		return c.spend(now, c.jitter(c.window(c.soon/4, c.soon), 0))
-	case e == Broke && c.failures == 1: // once, a stream that was good for a moment is replaced like one that was for long
+	case (e == Broke || e == Silent) && c.failures == 1: // once, a stream that was good for a moment is replaced at once
 		c.breaks++
 		return c.spend(now, c.place(now, c.back))
-	case e == Unfit || e == Broke:
+	case e == Unfit || e == Broke || e == Silent: // it had told something: the service is there, and not overloaded
 		return c.spend(now, c.jitter(c.soon, 0.5))
 	}
 	// Half of the window at least: who comes back at once adds to the crowd that it was lost in.
--- a/internal/pacing/list_test.go
+++ b/internal/pacing/list_test.go
@@ -184,6 +184,24 @@
 	}
 }
 
+// A stream that was good for a moment and falls silent is a break, not a call that the service had no time for: drains
+// must be heard within Heed, and a window that grows with each failure goes past that.
+func TestYoungStreamsThatFallSilentAreNoTimeOuts(t *testing.T) {
+	for seed := range uint64(50) {
+		c := NewListCalls(bounds(300, int(seed)), seed)
+		now := c.Start(1000 * time.Second)
+		for i := range 3 {
+			c.Good(now + 10*time.Millisecond)
+			now += 2 * time.Second
+			next := c.Next(now, Silent)
+			if wait := next - now; wait > 1500*time.Millisecond {
+				t.Errorf("seed %d: %v after silence %d of a young stream", seed, wait, i+1)
+			}
+			now = next
+		}
+	}
+}
+
 // A stream that breaks soon after it was opened leaves purges unheard as one that was good for long does, and is replaced
 // as soon. One that does so again is a service that flaps, and is not called at once each time.
 func TestFirstBreakOfAYoungStreamIsMendedSoon(t *testing.T) {
