Call the list service again behind young streams as soon as the budget of calls allows

Cause: ListCalls.Next counted every end of a young stream as a failure, and let the window behind a time-out or a refusal grow with all failures. A call on which nothing came, after a few breaks, was so followed 3.2 to 6.5 s later; and the second break in a row of a young stream 0.75 to 1.5 s later, though calls were saved up.

Change (internal/pacing/list.go): windows grow with calls in a row that were refused or timed out, from the last good line on; young streams that break or fall silent are replaced within 0.4 s, and not under FeedRetry from the second on, held back by the budget alone (4 saved, one more in 1.5 s: as before); the first stream in a row that closes within its first event, or brings a line that can't be used, after 0.2 to 0.4 s; behind a time-out the next call is made in time to be served Late and Purge after the last call.

Where the budget is spent the worst cases are as before, but are met more often: it is spent sooner.

Ruled out: the wait that spend adds (never past 1.5 s behind the end of a stream).

--- a/internal/pacing/list.go
+++ b/internal/pacing/list.go
@@ -67,7 +67,7 @@
 	crowd   = 8               // directors from which the full spread is used: fewer can't hurt the service
 	settled = 3 * time.Second // a stream that was good for less has served nobody: a flapping service
 	saved   = 4               // calls that may be made at once after a quiet time: a break, and its repair
-	growth  = 2.0             // times that a window grows with each failure
+	growth  = 2.0             // times that a window grows with each call that is not served (exponential backoff)
 	golden  = 0.6180339887498949
 )
 
@@ -82,17 +82,23 @@
 //     will tell when it is well must be heard within Heed of that: no wait then is longer than soon.
 //   - A service that is overloaded can't serve all within Heed whatever we do. What it would tell counts as told
 //     after Late: no wait is longer than that, less the call.
+//
+// A service that serves and breaks by turns is called as soon as after a good stream, as what it has cut off is due as
+// soon; only the budget, a token bucket, holds that back. docs/lifecycles.md has the worst cases that come of it.
 type ListCalls struct {
 	rng    *rand.Rand
 	b      ListBounds
 	spread time.Duration // over which the fleet spreads its first calls
 	back   time.Duration // and its return to a service that broke good streams
+	quick  time.Duration // longest wait that leaves a call its time within Purge
 	soon   time.Duration // longest wait while the service is down
 	long   time.Duration // longest wait at all
 
 	tokens   float64 // calls saved up
 	filled   Time    // when tokens was right
-	failures int     // in a row
+	failures int     // in a row, with no settled stream between
+	unserved int     // calls in a row that were refused or timed out, with no good line between
+	unfit    int     // ends in a row that were unfit, with no good line between
 	breaks   int     // of good streams: turns our place in the spread
 	goodFrom Time    // first good line of the present stream
 	good     bool
@@ -105,7 +111,8 @@
 	c.soon = max(b.Heed-b.Call, b.Least)
 	c.long = max(b.Late-b.Call, c.soon)
 	part := min(1, float64(b.Directors-1)/(crowd-1))
-	c.back = time.Duration(part * float64(min(c.soon, b.Purge*4/5)))
+	c.quick = min(c.soon, b.Purge*4/5)
+	c.back = time.Duration(part * float64(c.quick))
 	c.spread = c.back
 	if b.Start > 0 {
 		c.spread = time.Duration(part * float64(min(c.soon, b.Start)))
@@ -129,7 +136,7 @@
 // the new one tells must be heard as after a break, though the present stream is followed until then.
 func (c *ListCalls) Move(now Time) Time {
 	c.breaks++
-	c.failures, c.good = 0, false
+	c.failures, c.unserved, c.unfit, c.good = 0, 0, 0, false
 	return c.spend(now, c.place(now, c.back))
 }
 
@@ -137,6 +144,7 @@
 func (c *ListCalls) Good(now Time) {
 	if !c.good {
 		c.good, c.goodFrom = true, now
+		c.unserved, c.unfit = 0, 0
 	}
 	if now-c.goodFrom >= settled {
 		c.failures = 0
@@ -163,15 +171,30 @@
 		c.breaks++
 		return c.spend(now, c.place(now, c.back))
 	case e == Refused:
+		c.unserved++
 		return c.spend(now, c.jitter(c.window(c.soon/4, c.soon), 0))
 	case (e == Broke || e == Silent) && c.failures == 1: // once, a stream that was good for a moment is replaced at once
 		c.breaks++
 		return c.spend(now, c.place(now, c.back))
-	case e == Unfit || e == Broke || e == Silent: // it had told something: the service is there, and not overloaded
+	case e == Broke || e == Silent:
+		// It had told something: the service is there, and not overloaded. What it has cut off is due no later than
+		// behind a stream that was good for long, so that only the budget holds a service that flaps.
+		c.breaks++
+		least := min(c.b.Least, c.quick)
+		return c.spend(now, least+c.place(now+least, max(0, c.back-least)))
+	case e == Unfit:
+		c.unfit++
+		if c.unfit == 1 { // half an event is what a break leaves too
+			return c.spend(now, c.jitter(c.quick, 0.5))
+		}
 		return c.spend(now, c.jitter(c.soon, 0.5))
 	}
-	// Half of the window at least: who comes back at once adds to the crowd that it was lost in.
-	return c.spend(now, c.jitter(c.window(c.soon, c.long), 0.5))
+	// Half of the window at least: who comes back at once adds to the crowd that it was lost in. What was published right
+	// behind the last call counts as told Late after it, and is due Purge later: the next call is served by then.
+	c.unserved++
+	wait := c.jitter(c.window(c.soon, c.long), 0.5)
+	due := c.filled + c.b.Late + c.b.Purge - c.b.Call
+	return c.spend(now, max(min(wait, due-now), c.b.Least))
 }
 
 // place is how long it is to our place in the spread. The spread comes round by the clock, and each director has a
@@ -187,9 +210,10 @@
 	return (time.Duration(at*float64(spread)) - now%spread + spread) % spread
 }
 
-// window grows with each failure, from first up to most.
+// window grows with each call in a row that was not served, from first up to most. Streams that break are no such
+// calls: what comes of the service's faults must not count as its overload.
 func (c *ListCalls) window(first, most time.Duration) time.Duration {
-	w := float64(first) * math.Pow(growth, float64(min(c.failures-1, 16)))
+	w := float64(first) * math.Pow(growth, float64(min(c.unserved-1, 16)))
 	return time.Duration(min(w, float64(most)))
 }
 
@@ -199,7 +223,7 @@
 	return max(time.Duration(part*float64(window)), c.b.Least)
 }
 
-// spend takes a call off the budget, which gains one for each soon. Where nothing is left the call waits for
+// spend takes a call off the budget, a token bucket that gains one for each soon. Where nothing is left the call waits for
 // the next one, which is no longer than soon: a service that serves and breaks by turns costs its directors one
 // call in that time, and no more.
 func (c *ListCalls) spend(now Time, wait time.Duration) Time {
