Keep the last saved call for a random wait behind list streams that flap

Change: such a stream is replaced within 0.4 s only while two calls are saved up; after that 0.75 to 1.5 s later at random, as it was.

--- a/internal/pacing/list.go
+++ b/internal/pacing/list.go
@@ -84,7 +84,7 @@
 //     after Late: no wait is longer than that, less the call.
 //
 // A service that serves and breaks by turns is called as soon as after a good stream, as what it has cut off is due as
-// soon; only the budget, a token bucket, holds that back. docs/lifecycles.md has the worst cases that come of it.
+// soon, until the budget, a token bucket, is nearly spent. docs/lifecycles.md has the worst cases that come of it.
 type ListCalls struct {
 	rng    *rand.Rand
 	b      ListBounds
@@ -176,12 +176,14 @@
 	case (e == Broke || e == Silent) && c.failures == 1: // once, a stream that was good for a moment is replaced at once
 		c.breaks++
 		return c.spend(now, c.place(now, c.back))
-	case e == Broke || e == Silent:
+	case (e == Broke || e == Silent) && c.left(now) >= 2:
 		// It had told something: the service is there, and not overloaded. What it has cut off is due no later than
-		// behind a stream that was good for long, so that only the budget holds a service that flaps.
+		// behind a stream that was good for long.
 		c.breaks++
 		least := min(c.b.Least, c.quick)
 		return c.spend(now, least+c.place(now+least, max(0, c.back-least)))
+	case e == Broke || e == Silent: // the last call saved is spent at random: from then on the budget sets the time
+		return c.spend(now, c.jitter(c.soon, 0.5))
 	case e == Unfit:
 		c.unfit++
 		if c.unfit == 1 { // half an event is what a break leaves too
@@ -223,12 +225,17 @@
 	return max(time.Duration(part*float64(window)), c.b.Least)
 }
 
+// left is the budget at a time: calls saved up.
+func (c *ListCalls) left(at Time) float64 {
+	return min(saved, c.tokens+float64(at-c.filled)/float64(c.soon))
+}
+
 // spend takes a call off the budget, a token bucket that gains one for each soon. Where nothing is left the call waits for
 // the next one, which is no longer than soon: a service that serves and breaks by turns costs its directors one
 // call in that time, and no more.
 func (c *ListCalls) spend(now Time, wait time.Duration) Time {
 	at := now + wait
-	c.tokens = min(saved, c.tokens+float64(at-c.filled)/float64(c.soon))
+	c.tokens = c.left(at)
 	c.filled = at
 	if c.tokens < 1 {
 		at += time.Duration((1 - c.tokens) * float64(c.soon))
