End young streams of the list service in the laboratory, again and again

Cause: the laboratory could only reset all streams at once, or make the whole service ill.

Change: the step list-flap ends each stream of its directors at a drawn age (seed, director, number of the stream): break (a reset), half (half of the next event, then a close), silent (it stays open and brings nothing). Each end is recorded (kind stream) with the first event that the stream did not bring; what comes then counts as told only with a later call. A purge step may purge count times within for seconds, and keep says how long servers keep the old copies, 2 s unless set. Servers now drop only copies from before the purge: until now a late drop took newer ones too, and the old copies' time was shortened by each earlier purge of the object.

--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -87,7 +87,12 @@
 	Site    string  `toml:"site"`  // branch-1 or hub-1 and so on: only its directors or servers
 	Late    float64 `toml:"late"`  // seconds by which the list tells of a site late
 	Only    int     `toml:"only"`  // the one director that it is done to, counted from 1; 0: the share
-	Count   int     `toml:"count"` // connections to each director
+	Count   int     `toml:"count"` // connections to each director; purges within For seconds
+	Keep    float64 `toml:"keep"`  // seconds for which servers keep copies from before a purge; 0: 2
+	// Of list-flap: how streams end (break, half, silent), drawn evenly, and the ages in seconds between which they do.
+	Ends    []string `toml:"ends"`
+	AgeFrom float64  `toml:"age_from"`
+	AgeTo   float64  `toml:"age_to"`
 }
 
 // Bound is what a figure must keep to.
@@ -104,7 +109,7 @@
 var doings = map[string]string{
 	"idle": "directors", "kill": "directors", "start": "directors", "stop": "directors", "cont": "directors", "term": "directors",
 	"list-well": "list", "list-down": "list", "list-hang": "list", "list-half": "list", "list-slow": "list",
-	"list-older": "list", "list-break": "list",
+	"list-older": "list", "list-break": "list", "list-flap": "directors",
 	"replace": "caches", "replace-parents": "parents", "drain": "caches", "kill-caches": "caches",
 	"silence-caches": "caches", "origin-slow": "origin", "purge": "", "burst": "",
 	"site-kill": "site", "site-silent": "site", "site-busy": "site",
@@ -185,7 +190,16 @@
 			limit{at("at"), s.At, 0, x.Seconds}, limit{at("share"), s.Share, 0, 1},
 			limit{at("for"), s.For, 0, 600}, limit{at("factor"), s.Factor, 0, 100}, limit{at("back"), float64(s.Back), 0, 1e4},
 			limit{at("over"), s.Over, 0, 600}, limit{at("delay_ms"), s.DelayMS, 0, 1e4},
-			limit{at("count"), float64(s.Count), 0, 1e4})
+			limit{at("count"), float64(s.Count), 0, 1e4}, limit{at("keep"), s.Keep, 0, purgeTakes.Seconds()},
+			limit{at("age_from"), s.AgeFrom, 0, 60}, limit{at("age_to"), s.AgeTo, s.AgeFrom, 60})
+		if s.Do == "list-flap" && (len(s.Ends) == 0 || s.AgeTo == 0) {
+			return at("do"), "list-flap needs ends and age_to"
+		}
+		for _, e := range s.Ends {
+			if !slices.Contains([]string{"break", "half", "silent"}, e) {
+				return at("ends"), fmt.Sprintf("%q is no end of a stream", e)
+			}
+		}
 	}
 	for _, l := range limits {
 		if !(l.value >= l.low && l.value <= l.high) {
--- a/internal/lab/fleet_test.go
+++ b/internal/lab/fleet_test.go
@@ -131,18 +131,22 @@
 // A bad experiment is an error that names the file, the line and the key, before anything starts.
 func TestBadExperimentsAreNamed(t *testing.T) {
 	for text, want := range map[string]string{
-		"directors = 4\nspeed = 3\n":                                  "x.toml:2: speed: no such key",
-		"[clients]\nzipf = 0.5\n":                                     "x.toml:2: clients.zipf: 0.5 is not within",
-		"directors = 4\n\n[[step]]\nat = 1.0\ndo = \"dance\"\n":       "x.toml:5: step[0].do: \"dance\"",
-		"[[step]]\nat = 1.0\ndo = \"cut\"\nlink = \"moon\"\n":         "x.toml:4: step[0].link: \"moon\"",
-		"[[step]]\ndo=\"kill\"\n[[step]]\ndo=\"kill\"\nshare = 1.5\n": "x.toml:5: step[1].share: 1.5",
-		"directors = \"many\"\n":                                      "x.toml:1: directors",
-		"[[bound]]\nfigure = \"luck\"\n":                              "x.toml:2: bound[0].figure: \"luck\"",
-		"[list]\nbegin = \"odd\"\n":                                   "x.toml:2: list.begin: \"odd\"",
-		"directors = 4\n[caches]\ncount = 0\n":                        "x.toml:3: caches.count: 0 is not within",
-		"[[step]]\nat = 99.0\ndo = \"kill\"\n":                        "x.toml:2: step[0].at: 99",
-		"directors = [":                                               "x.toml:1",
-		"[clients]\nrepayments = nan\n":                               "x.toml:2: clients.repayments: NaN",
+		"directors = 4\nspeed = 3\n":                                                      "x.toml:2: speed: no such key",
+		"[clients]\nzipf = 0.5\n":                                                         "x.toml:2: clients.zipf: 0.5 is not within",
+		"directors = 4\n\n[[step]]\nat = 1.0\ndo = \"dance\"\n":                           "x.toml:5: step[0].do: \"dance\"",
+		"[[step]]\nat = 1.0\ndo = \"cut\"\nlink = \"moon\"\n":                             "x.toml:4: step[0].link: \"moon\"",
+		"[[step]]\ndo=\"kill\"\n[[step]]\ndo=\"kill\"\nshare = 1.5\n":                     "x.toml:5: step[1].share: 1.5",
+		"directors = \"many\"\n":                                                          "x.toml:1: directors",
+		"[[bound]]\nfigure = \"luck\"\n":                                                  "x.toml:2: bound[0].figure: \"luck\"",
+		"[list]\nbegin = \"odd\"\n":                                                       "x.toml:2: list.begin: \"odd\"",
+		"directors = 4\n[caches]\ncount = 0\n":                                            "x.toml:3: caches.count: 0 is not within",
+		"[[step]]\nat = 99.0\ndo = \"kill\"\n":                                            "x.toml:2: step[0].at: 99",
+		"[[step]]\ndo = \"list-flap\"\nage_to = 1.0\n":                                    "x.toml:2: step[0].do: list-flap needs",
+		"[[step]]\ndo = \"list-flap\"\nage_to = 1.0\nends = [\"bang\"]\n":                 "x.toml:4: step[0].ends: \"bang\"",
+		"[[step]]\ndo = \"list-flap\"\nends = [\"half\"]\nage_from = 2.0\nage_to = 1.0\n": "x.toml:5: step[0].age_to: 1",
+		"[[step]]\ndo = \"purge\"\nkeep = 6.5\n":                                          "x.toml:3: step[0].keep: 6.5",
+		"directors = [":                                                                   "x.toml:1",
+		"[clients]\nrepayments = nan\n":                                                   "x.toml:2: clients.repayments: NaN",
 	} {
 		if _, err := Parse("x.toml", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: error %v, want %q", text, err, want)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -234,7 +234,7 @@
 			"passOn": []bool{false, true}, "flowKbPerS": 100 / (x.Clients.TransferMS / 1000), "mergesFills": x.Caches.Joins,
 			"masterKind": 2, "secondTierKind": 1, "parentColdFrom": x.Parents.ColdFrom,
 			"parentFallMultiple": x.Parents.Multiple, "parentRamp": x.Parents.RampMS * ms, "purgeSlack": 500 * ms,
-			"purgeTakes": 6000 * ms, "lateral": "location", "notesGiven": "all", "seatsByZone": seats,
+			"purgeTakes": purgeTakes.Nanoseconds(), "lateral": "location", "notesGiven": "all", "seatsByZone": seats,
 			"hubByZone": hubs}}
 }
 
@@ -459,6 +459,10 @@
 		return plain(func() { l.list.set(s.Do[len("list-"):], 1, 0) }), plain(func() { l.list.set("well", factor, 0) })
 	case "list-older":
 		return plain(func() { l.list.set("older", 1, max(s.Back, 1)) }), well
+	case "list-flap":
+		f := &flap{seed: l.x.Seed, ends: s.Ends, from: time.Duration(s.AgeFrom * float64(time.Second)),
+			to: time.Duration(s.AgeTo * float64(time.Second))}
+		return plain(func() { l.list.flapStreams(ids, f) }), plain(func() { l.list.settle(ids, f) })
 	case "list-break":
 		return plain(l.list.breakStreams), nil
 	case "replace", "replace-parents":
@@ -492,7 +496,17 @@
 		}
 		return set(true), set(false)
 	case "purge":
-		return plain(func() { l.purge(rng) }), nil
+		return plain(func() {
+			keep := time.Duration(s.Keep * float64(time.Second))
+			if keep == 0 {
+				keep = 2 * time.Second
+			}
+			gap := time.Duration(s.For / float64(max(s.Count, 1)) * float64(time.Second))
+			for i := range max(s.Count, 1) { // drawn now: the same ones every time
+				object := fmt.Sprintf("%016x", 1+rng.IntN(8))
+				time.AfterFunc(time.Duration(i)*gap, func() { l.purge(object, keep) })
+			}
+		}), nil
 	case "origin-slow":
 		return plain(func() { l.origin.pace(factor) }), plain(func() { l.origin.pace(1) })
 	case "burst":
@@ -573,19 +587,22 @@
 	return nil
 }
 
-// purge purges one of the most wanted objects.
-func (l *Lab) purge(rng *rand.Rand) {
-	object, at := fmt.Sprintf("%016x", 1+rng.IntN(8)), time.Now()
+// purgeTakes is how long servers may keep a copy from before a purge (settings: familyInfo.purgeTakes).
+const purgeTakes = 6 * time.Second
+
+// purge purges an object.
+func (l *Lab) purge(object string, keep time.Duration) {
+	at := time.Now()
 	l.list.publish(func(n int) string {
 		return fmt.Sprintf(`{"n":%d,"purge":{"key":%q,"at":%d}}`, n, object, at.UnixMilli())
 	}, Event{Object: object, What: "purge", Since: l.record.at(at.UnixMilli())})
 	// Caches drop it in their own time; until then the directors' word must hold.
-	time.AfterFunc(2*time.Second, func() {
+	time.AfterFunc(keep, func() {
 		l.mu.Lock()
 		all := slices.Concat(l.caches, l.parents)
 		l.mu.Unlock()
 		for _, s := range all {
-			s.purge(object)
+			s.purge(object, at)
 		}
 	})
 }
--- a/internal/lab/list.go
+++ b/internal/lab/list.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -28,10 +29,13 @@
 	turn    time.Time // when the server is free again
 	fronts  map[int]*net.TCPListener
 	streams map[net.Conn]bool
+	flaps   map[int]*flap // by director: how its streams end
+	nth     map[int]int   // streams that a director has had
 }
 
 func newListService(l *Lab) *listService {
-	s := &listService{lab: l, mode: "well", factor: 1, fronts: map[int]*net.TCPListener{}, streams: map[net.Conn]bool{}}
+	s := &listService{lab: l, mode: "well", factor: 1, fronts: map[int]*net.TCPListener{}, streams: map[net.Conn]bool{},
+		flaps: map[int]*flap{}, nth: map[int]int{}}
 	rate := l.x.List.CallsPerSecond
 	if rate == 0 {
 		rate = float64(l.x.Directors) / 1.5
@@ -227,8 +231,15 @@
 	s.mu.Unlock()
 }
 
-// stream writes all that is new, and each second the last number.
-func (s *listService) stream(director int, c net.Conn, last int, gone chan struct{}) {
+// stream writes all that is new, and each second the last number, until the director hangs up or a flap ends it.
+func (s *listService) stream(director int, c *wire, last int, gone chan struct{}) {
+	up := time.Now()
+	s.mu.Lock()
+	s.nth[director]++
+	nth := s.nth[director]
+	s.mu.Unlock()
+	var under *flap
+	var end streamEnd
 	beat := time.NewTicker(time.Second)
 	defer beat.Stop()
 	alive := make(chan struct{})
@@ -259,15 +270,40 @@
 				return
 			default:
 			}
-			if s.closed || s.head() > last || time.Since(spoke) >= 900*time.Millisecond {
+			if f := s.flaps[director]; f != under {
+				under, end = f, f.end(director, nth, up)
+				if end.what != "" {
+					defer time.AfterFunc(time.Until(end.at), s.wake).Stop()
+				}
+			}
+			if s.closed || s.head() > last || (end.due() && end.what != "half") || time.Since(spoke) >= 900*time.Millisecond {
 				break
 			}
 			s.cond.Wait()
 		}
-		if s.closed {
+		if s.closed || nth != s.nth[director] { // it has called again, and this stream is nobody's
 			s.mu.Unlock()
 			return
 		}
+		if end.due() && (end.what != "half" || s.head() > last) {
+			text := ""
+			if end.what == "half" {
+				text = s.lines[last][:len(s.lines[last])/2]
+			}
+			s.lab.record.add(Event{Kind: "stream", Director: directorName(director), What: end.what, N: last + 1,
+				Value: float64(time.Since(up).Microseconds()) / 1000})
+			s.mu.Unlock()
+			switch end.what {
+			case "half":
+				_, _ = c.Write([]byte(text))
+			case "break":
+				time.Sleep(readsWithin)
+				reset(c.Conn)
+			case "silent":
+				<-gone
+			}
+			return
+		}
 		from, head := last, s.head()
 		var news []string
 		if head > last {
@@ -289,6 +325,71 @@
 	}
 }
 
+// readsWithin is for how long a stream that is about to be reset says nothing: a reset takes away what has arrived
+// and was not read yet, and what has been recorded as told must have been heard.
+const readsWithin = 10 * time.Millisecond
+
+// flap ends streams of the list service while they are young, again and again.
+type flap struct {
+	seed     uint64
+	begin    time.Time
+	ends     []string // break (a reset), half (a half event, and a close), silent (it stays open): drawn evenly
+	from, to time.Duration
+}
+
+// streamEnd is how and when a stream ends; the zero value: not by a flap.
+type streamEnd struct {
+	what string
+	at   time.Time
+}
+
+func (e streamEnd) due() bool { return e.what != "" && !time.Now().Before(e.at) }
+
+// end draws the end of a director's nth stream, by the seed and these numbers alone. The age counts from its start, or
+// from the flap's begin where it was up by then. A half event ends it as the first event comes after that.
+func (f *flap) end(director, nth int, up time.Time) streamEnd {
+	if f == nil {
+		return streamEnd{}
+	}
+	rng := rand.New(rand.NewPCG(f.seed, uint64(director)<<32|uint64(nth)))
+	what := f.ends[rng.IntN(len(f.ends))]
+	age := f.from + time.Duration(rng.Float64()*float64(f.to-f.from))
+	if up.Before(f.begin) {
+		up = f.begin
+	}
+	return streamEnd{what, up.Add(age)}
+}
+
+// flapStreams ends the streams of directors from now on.
+func (s *listService) flapStreams(directors []int, f *flap) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f.begin = time.Now()
+	for _, d := range directors {
+		s.flaps[d] = f
+	}
+	s.cond.Broadcast()
+}
+
+// settle lets streams be that a flap would have ended.
+func (s *listService) settle(directors []int, f *flap) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range directors {
+		if s.flaps[d] == f {
+			delete(s.flaps, d)
+		}
+	}
+	s.cond.Broadcast()
+}
+
+// wake has all streams look whether there is something to do.
+func (s *listService) wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cond.Broadcast()
+}
+
 func (s *listService) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/lab/list_test.go
@@ -0,0 +1,174 @@
+package lab
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// young is a list service for one director, with one event, that ends streams as they start.
+func young(t *testing.T, what string) (*listService, *flap, string) {
+	t.Helper()
+	dir := t.TempDir()
+	r, err := newRecorder(filepath.Join(dir, "record.jsonl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newListService(&Lab{x: &Experiment{Directors: 1, List: ListSpec{CallsPerSecond: 1000}}, record: r, faults: newFaults(),
+		net: network(dir)})
+	t.Cleanup(func() {
+		s.close()
+		if err := r.close(); err != nil && !errors.Is(err, os.ErrClosed) {
+			t.Error(err)
+		}
+	})
+	s.publish(func(n int) string { return fmt.Sprintf(`{"n":%d,"event":"the first"}`, n) }, Event{What: "list"})
+	f := &flap{ends: []string{what}}
+	s.flapStreams([]int{0}, f)
+	address, err := s.address(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, f, address
+}
+
+func subscribe(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if err := c.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := fmt.Fprintf(c, "SUB 0\n"); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// recorded is what has been recorded of a kind.
+func recorded(t *testing.T, r *recorder, kind string) (list []Event) {
+	t.Helper()
+	r.mu.Lock()
+	err := r.w.Flush()
+	r.mu.Unlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(r.f.Name())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for l := range strings.Lines(string(text)) {
+		var e Event
+		if err := json.Unmarshal([]byte(l), &e); err != nil {
+			t.Fatal(err)
+		}
+		if e.Kind == kind {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// ended waits until the end of a stream has been recorded.
+func ended(t *testing.T, s *listService, what string) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		if ends := recorded(t, s.lab.record, "stream"); len(ends) == 1 {
+			if ends[0].What != what || ends[0].N != 1 || ends[0].Director != "d0" {
+				t.Errorf("recorded %+v", ends[0])
+			}
+			return
+		}
+	}
+	t.Fatal("no end of the stream was recorded")
+}
+
+// A stream that breaks ends with a reset, one that breaks in an event with half of it; neither counts as told.
+func TestYoungStreamBreaks(t *testing.T) {
+	s, _, address := young(t, "break")
+	c := subscribe(t, address)
+	if n, err := c.Read(make([]byte, 100)); n != 0 || !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+	ended(t, s, "break")
+
+	h, _, address := young(t, "half")
+	text, err := bufio.NewReader(subscribe(t, address)).ReadString('\n')
+	if want := `{"n":1,"event`; text != want || err == nil {
+		t.Errorf("read %q, %v, want %q and the end", text, err, want)
+	}
+	ended(t, h, "half")
+	for _, x := range []*listService{s, h} {
+		if told := recorded(t, x.lab.record, "told"); len(told) > 0 {
+			t.Errorf("recorded as told: %+v", told)
+		}
+	}
+}
+
+// A stream that has fallen silent brings nothing and stays open; what is told then counts as told with the next call.
+func TestYoungStreamFallsSilent(t *testing.T) {
+	s, f, address := young(t, "silent")
+	c := subscribe(t, address)
+	ended(t, s, "silent")
+	s.publish(func(n int) string { return fmt.Sprintf(`{"n":%d,"event":"the second"}`, n) }, Event{What: "purge"})
+	s.settle([]int{0}, f)
+	r := bufio.NewReader(subscribe(t, address))
+	for _, want := range []string{"the first", "the second"} {
+		if line, err := r.ReadString('\n'); err != nil || !strings.Contains(line, want) {
+			t.Fatalf("read %q, %v, want %s", line, err, want)
+		}
+	}
+	// The old stream is still open, and nothing has come on it.
+	if err := c.SetReadDeadline(time.Now().Add(20 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := c.Read(make([]byte, 100)); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+	var told []Event
+	for until := time.Now().Add(10 * time.Second); len(told) < 2 && time.Now().Before(until); time.Sleep(time.Millisecond) {
+		told = recorded(t, s.lab.record, "told")
+	}
+	calls := recorded(t, s.lab.record, "call")
+	if len(told) != 2 || len(calls) != 2 || told[0].MS < calls[1].MS {
+		t.Errorf("told %+v, calls %+v: want both told after the second call", told, calls)
+	}
+}
+
+// How a director's streams end hangs on the seed, its number and their order alone, and differs between all of these.
+func TestEndsOfStreamsAreDrawnBySeed(t *testing.T) {
+	begin := time.Now()
+	seen := map[time.Duration]bool{}
+	kinds := map[string]bool{}
+	for seed := range uint64(3) {
+		f := &flap{seed: seed, begin: begin, ends: []string{"break", "half", "silent"}, from: time.Second, to: 3 * time.Second}
+		for director := range 4 {
+			for nth := range 5 {
+				e := f.end(director, nth, begin.Add(time.Minute))
+				age := e.at.Sub(begin) - time.Minute
+				if age < time.Second || age > 3*time.Second || e != f.end(director, nth, begin.Add(time.Minute)) {
+					t.Errorf("seed %d, director %d, stream %d: %+v", seed, director, nth, e)
+				}
+				if early := f.end(director, nth, begin.Add(-time.Minute)); early.at != begin.Add(age) {
+					t.Errorf("a stream that was up before the flap ends at %v, not %v after its begin", early.at, age)
+				}
+				seen[age], kinds[e.what] = true, true
+			}
+		}
+	}
+	if len(seen) != 60 || len(kinds) != 3 {
+		t.Errorf("%d ages for 60 streams, ends %v", len(seen), kinds)
+	}
+}
--- a/internal/lab/servers.go
+++ b/internal/lab/servers.go
@@ -444,12 +444,12 @@
 	s.part = part
 }
 
-// purge drops what is older.
-func (s *server) purge(object string) {
+// purge drops what is older than the purge.
+func (s *server) purge(object string, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for k := range s.held {
-		if strings.HasPrefix(k, object+"/") {
+	for k, have := range s.held {
+		if strings.HasPrefix(k, object+"/") && have.since.Before(at) {
 			delete(s.held, k)
 		}
 	}
--- a/internal/lab/servers_test.go
+++ b/internal/lab/servers_test.go
@@ -29,3 +29,14 @@
 		t.Fatal(err)
 	}
 }
+
+// A purge takes away copies from before it, also where it is heeded late; newer ones stay.
+func TestPurgeTakesOlderCopies(t *testing.T) {
+	at := time.Now()
+	s := &server{held: map[string]copyOf{"a/0": {since: at.Add(-time.Second)}, "a/1": {since: at.Add(time.Second)},
+		"b/0": {since: at.Add(-time.Second)}}}
+	s.purge("a", at)
+	if _, old := s.held["a/0"]; old || len(s.held) != 2 {
+		t.Errorf("left: %v", s.held)
+	}
+}
