--- a/internal/labcheck/figures.go
+++ b/internal/labcheck/figures.go
@@ -11,7 +11,7 @@
 var FigureNames = append([]string{"list_peak_ratio", "list_calls_per_start", "list_timeouts", "list_calls", "cold_budget_worst",
 	"origin_fetches_per_object", "origin_busy", "ready_ms_p99", "served_share", "served_share_all", "refused_share",
 	"attempts_per_request", "attempts_after", "conns_turned_away", "answer_ms_p50", "answer_ms_p99", "lag_ms_max", "requests",
-	"large_share", "left"}, siteNames...)
+	"large_share", "left", "purges", "old_copies", "list_young_ends", "list_deaf_ms_max"}, siteNames...)
 
 const (
 	firstSpan = 20_000.0 // of the load, that served_share counts
@@ -19,6 +19,7 @@
 	leastSpan = 1_500.0  // of calls, over which the mean of a start is taken
 	bin       = 100.0
 	callsSpan = 3_000.0 // of a director's calls that belong to its start
+	youngMost = 3_000.0 // of a stream of the list service, its age
 	calmsIn   = 5_000.0 // after the end of the last trouble, from when on attempts_after counts
 )
 
@@ -29,6 +30,7 @@
 		f[n] = 0
 	}
 	r.listFigures(f)
+	r.streamFigures(f)
 	begin, objects, fetches := 0.0, map[string]bool{}, 0.0
 	answers, ready := hdrhistogram.New(1, 120_000, 3), hdrhistogram.New(1, 120_000, 3)
 	asks := map[string]line{}
@@ -150,6 +152,37 @@
 	return a / b
 }
 
+// streamFigures counts purges and young streams that a flap ended, and measures the longest time that a director was
+// without a stream after that, until a call was served, or the load was over.
+func (r *record) streamFigures(f map[string]float64) {
+	deaf := map[string]float64{} // by director: since when
+	ends := func(who string, at float64) {
+		if since, ok := deaf[who]; ok {
+			f["list_deaf_ms_max"] = max(f["list_deaf_ms_max"], at-since)
+			delete(deaf, who)
+		}
+	}
+	for _, l := range r.lines {
+		switch {
+		case l.Kind == "news" && l.Object != "":
+			f["purges"]++
+		case l.Kind == "stream":
+			if l.Value < youngMost {
+				f["list_young_ends"]++
+			}
+			deaf[l.Director] = l.MS
+		case l.Kind == "call" && l.What == "served":
+			ends(l.Director, l.MS)
+		case l.Kind == "process" && l.What == "gone": // without a process there is nobody to be deaf
+			delete(deaf, l.Who)
+		case l.Kind == "load" && l.What == "end":
+			for who := range deaf {
+				ends(who, l.MS)
+			}
+		}
+	}
+}
+
 // listFigures counts calls of the list service: how they crowd at the largest start of the fleet, and how many
 // a start takes.
 func (r *record) listFigures(f map[string]float64) {
