Keep parting connections within the descriptors while clients flood in

Seen: with 66 descriptors, one request open and SIGTERM given, 100 new connections behind the parting ended the program with status 1 and "Accept() failed due to error: too many open files"; the open request was never answered. Session.move let any number of connections linger while the program parts ("no place is wanted"), but Server.Accept goes on taking ClientConns newcomers beside them, each of which Part or evict turns into one more that lingers for 0.5 s.

Change: trim bounds those that linger to ClientLingers, while the program parts to those and the places that are free among ClientConns; it is also called when a newcomer takes a place. The eldest is cut.

Measured: TestFloodWhileTheProgramPartsIsSurvived fails before (accept ends the engine) and passes after. Ruled out: a share of the peers', as one dial was made; a burst while running, which TestBurstOfConnectionsIsSurvived holds.

--- a/cmd/shaleyard/stories_test.go
+++ b/cmd/shaleyard/stories_test.go
@@ -478,6 +478,29 @@
 	child.stop()
 }
 
+// As the program ends, clients that rest don't close their half, and others come in a flood: what lingers and what is
+// new must together keep within the clients' share, or accept finds no descriptor and ends the program over an answer
+// that is owed.
+func TestFloodWhileTheProgramPartsIsSurvived(t *testing.T) {
+	s := &site{t: t, cache: nettest.Listen(t), origin: nettest.Listen(t), feed: nettest.Listen(t)}
+	child := startChild(t, s.config(66), 66)
+	cl, resting := nettest.Dial(t, child.address), nettest.Dial(t, child.address)
+	resting.Heartbeat(1)
+	cl.Submit(1, "", fields("media", ref1)...)
+	c := s.cache.Accept()
+	c.Command()
+	child.signal(syscall.SIGTERM)
+	resting.EOF() // the program parts
+	last := resting
+	for range 100 {
+		last = nettest.Dial(t, child.address)
+	}
+	last.Ended() // it was accepted, and all before it
+	c.Answer(ref1, "OK", "n=HIT", "owed")
+	s.want(cl.Reply(), nettest.Reply{Seq: 1, Body: "owed", Good: true})
+	child.stop()
+}
+
 func TestRejectionsAreLoggedSparingly(t *testing.T) {
 	var text strings.Builder
 	p := &program{log: newLogger(&text, "", "n1")}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -51,7 +51,7 @@
 	classes map[string]int
 	conns   *director.Table[*Session]
 	lingers []*Session // eldest first; they are not among conns
-	parting bool       // the program ends: any number may linger, as no place is wanted
+	parting bool       // the program ends: more may linger, in the places that are free
 	out     writer
 	tail    writer
 	frame   []byte // scratch: a frame that came in pieces
@@ -114,9 +114,22 @@
 	s.Counters.Accepted++
 	x.handle, x.lastUse, x.begun = h, s.now(), s.now()
 	x.watch()
+	s.trim()
 	return x
 }
 
+// trim cuts the eldest that linger, beyond what the descriptors leave for them. As the program ends nearly all linger
+// at once: they may have the places that are free then, but newcomers still take those.
+func (s *Server) trim() {
+	most := s.limits.ClientLingers
+	if s.parting {
+		most += s.limits.ClientConns - s.conns.Len()
+	}
+	for len(s.lingers) > most {
+		s.lingers[0].cut()
+	}
+}
+
 // evict closes the connection that is missed least, so that those who connect and say nothing, or keep a
 // connection for good, can't shut others out: one that has been idle for longer than clients keep theirs, else
 // the eldest that has brought no message yet, else the longest idle. One that is owed an answer stays.
@@ -175,9 +188,7 @@
 		if x.c.CloseWrite() != nil {
 			x.shut()
 		}
-		if len(s.lingers) > s.limits.ClientLingers && !s.parting {
-			s.lingers[0].cut()
-		}
+		s.trim()
 	case closed:
 		s.Counters.Closed++
 		s.agenda.Drop(&x.idle)
