Charge the total backlog to the client that has left the most unread

Seen by reading: Session.write closed the connection that was just being answered when all clients together had left more than TotalBacklog unread, whoever had left it. A client that reads lost its answer for others that don't; with 192 MB five connections with 32 objects unread each are enough.

Change: the bound of one connection is looked at before the write as ever; the one of all together behind it (relieve), where the connection with the most unread is closed until the rest keeps within. It overshoots by one answer.

Measured: TestTotalBacklogIsChargedToWhoLeavesMost fails before (the reader is closed, nothing written to it) and passes after. Not tried on sockets.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -622,10 +622,8 @@
 		size += len(p)
 	}
 	s := x.s
-	if s.backlog += size; s.backlog > s.limits.TotalBacklog {
-		s.backlog = s.Unsent() + size
-	}
-	if x.c.OutboundBuffered()+size > s.limits.ClientBacklog || s.backlog > s.limits.TotalBacklog {
+	s.backlog += size
+	if x.c.OutboundBuffered()+size > s.limits.ClientBacklog {
 		s.Counters.Backlogged++
 		x.shut()
 		return
@@ -634,4 +632,24 @@
 	if _, err := x.c.Writev(parts); err != nil {
 		x.shut()
 	}
+	s.relieve()
+}
+
+// relieve closes those who have left the most unread, until all together keep within their bound. It comes behind the
+// write, as what a close withdraws may bring answers to others.
+func (s *Server) relieve() {
+	for s.backlog > s.limits.TotalBacklog {
+		if s.backlog = s.Unsent(); s.backlog <= s.limits.TotalBacklog {
+			return
+		}
+		var worst *Session
+		s.conns.All(func(_ director.Handle, x *Session) bool {
+			if worst == nil || x.c.OutboundBuffered() > worst.c.OutboundBuffered() {
+				worst = x
+			}
+			return true
+		})
+		s.Counters.Backlogged++
+		worst.shut()
+	}
 }
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -128,6 +128,22 @@
 	}
 }
 
+// Where all together leave too much unread, who has left the most loses its connection, not who is just answered.
+func TestTotalBacklogIsChargedToWhoLeavesMost(t *testing.T) {
+	b := newBench()
+	links := [3]nettest.Link{}
+	for i := range links {
+		b.s.Accept(&links[i]).Data([]byte(nettest.SubmitFrame(1, "", request(ref)...)))
+	}
+	links[0].Unread, links[1].Unread = 6_000, 9_500
+	b.s.backlog = b.s.Unsent()
+	b.replier.Reply(b.tokens[2], director.Answer{Verdict: director.Served})
+	if links[0].Closed || !links[1].Closed || links[2].Closed || links[2].Text.Len() == 0 {
+		t.Errorf("closed %v, %v, %v with %d bytes written to the last; want the second closed alone", links[0].Closed,
+			links[1].Closed, links[2].Closed, links[2].Text.Len())
+	}
+}
+
 func TestOpenRequestsAreBounded(t *testing.T) {
 	b := newBench()
 	w := &nettest.Link{}
