Watch a client's message from its first bytes, also if they are its length alone

Seen: behind a whole message and 5 s of rest, a client sent the four bytes of a frame's length and no more; its connection was not ended within 2 s. Session.read set begun, but where a segment ended right behind the length its loop ended at "continue" without a call of watch, so that the entry of the agenda stayed at the end of the idle time, up to 30 s later. A client that writes the length apart and then hangs held its place for so long.

Change: read calls watch there as it does at every other cut.

Measured: TestStuckMessageEndsItsConnection fails before for 4 bytes (not for 1 and 9), and passes after.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -329,6 +329,9 @@
 				x.s.Counters.BadFrame++
 				return fmt.Errorf("frame of %d bytes", x.want)
 			}
+			if len(p) == 0 {
+				x.watch()
+			}
 			continue
 		}
 		if x.got.Len() == 0 && len(p) >= x.want { // whole in one piece
--- a/internal/clients/phases_test.go
+++ b/internal/clients/phases_test.go
@@ -171,3 +171,20 @@
 		}
 	}
 }
+
+// Whatever part of a message has come, be it its length alone, the rest is owed within 2 s.
+func TestStuckMessageEndsItsConnection(t *testing.T) {
+	for _, bytes := range []int{1, 4, 9} {
+		b, w := lasting(), &nettest.Link{}
+		x := b.s.Accept(w)
+		x.Data([]byte(nettest.Frame(1, "heartbeat", 1, []byte{2, 0, 1, 0})))
+		b.pass(5 * time.Second)
+		x.Data(submission(2)[:bytes])
+		b.pass(1900 * time.Millisecond)
+		early := w.Half
+		b.pass(200 * time.Millisecond)
+		if early || !w.Half {
+			t.Errorf("%d bytes of a message: half-closed %v before 2 s, %v behind it", bytes, early, w.Half)
+		}
+	}
+}
