Don't end a client's connection as idle amid a message

Seen by reading: Session.watch ended a connection as idle 30 s after its last whole message, and Server.evict took one that rests for a newcomer, also where a part of the next message had come.

Change: amid a message a connection is not idle; the 2 s for the rest of a message bound it as ever. A newcomer takes such a place only where no other is free of owed answers.

Measured: TestMessageThatHasBegunIsNotCutOff fails before at both ends and passes after. Left as it is: the 2 s of a first message count from where its connection began, as who drips bytes is owed a close within 3 s.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -132,12 +132,15 @@
 
 // evict closes the connection that is missed least, so that those who connect and say nothing, or keep a
 // connection for good, can't shut others out: one that has been idle for longer than clients keep theirs, else
-// the eldest that has brought no message yet, else the longest idle. One that is owed an answer stays.
+// the eldest that has brought no message yet, else the longest idle, else one that is just bringing a message.
+// One that is owed an answer stays.
 func (s *Server) evict() {
 	var worst *Session
 	now := s.now()
 	class := func(x *Session) int {
 		switch {
+		case x.midway():
+			return 3
 		case x.spoke && now-x.lastUse > s.limits.ClientKeeps:
 			return 0
 		case !x.spoke:
@@ -162,6 +165,9 @@
 // busy tells whether an answer is owed, or not yet passed on whole: a close would lose it.
 func (x *Session) busy() bool { return len(x.open) > 0 || x.c.OutboundBuffered() > 0 }
 
+// midway tells that a part of a message has come, and not all of it.
+func (x *Session) midway() bool { return x.want != 0 || len(x.head) > 0 }
+
 // move takes the session on to a later phase; it is the one place where the phase changes.
 func (x *Session) move(to phase) {
 	if to <= x.phase {
@@ -170,7 +176,7 @@
 	s, from := x.s, x.phase
 	x.phase = to
 	x.got.Release()
-	x.begun, x.want = 0, 0
+	x.begun, x.want, x.head = 0, 0, nil
 	if from == lingering {
 		s.lingers = slices.DeleteFunc(s.lingers, func(o *Session) bool { return o == x })
 	} else if to >= lingering {
@@ -271,14 +277,17 @@
 	if len(x.open) > 0 {
 		due = x.s.now() + l.ClientIdle
 	}
-	if x.begun != 0 {
+	switch {
+	case x.midway(): // not idle: its client writes on
+		due = x.begun + l.ClientMessage
+	case x.begun != 0:
 		due = min(due, x.begun+l.ClientMessage)
 	}
 	x.s.agenda.Set(&x.idle, due, func() {
 		switch now := x.s.now(); {
 		case x.begun != 0 && now-x.begun >= l.ClientMessage:
 			x.s.Counters.Mute++
-		case len(x.open) == 0 && now-x.lastUse >= l.ClientIdle:
+		case len(x.open) == 0 && !x.midway() && now-x.lastUse >= l.ClientIdle:
 			x.s.Counters.Idle++
 			if x.busy() { // it has not read its last answer in all that time
 				x.shut()
--- a/internal/clients/phases_test.go
+++ b/internal/clients/phases_test.go
@@ -188,3 +188,31 @@
 		}
 	}
 }
+
+// A message that has begun to come may come whole: neither the end of an idle time nor a newcomer cuts it off. Its client
+// writes on, and a request whose end comes long behind our half-close would be lost.
+func TestMessageThatHasBegunIsNotCutOff(t *testing.T) {
+	begin := func() (b *bench, x *Session, w *nettest.Link) {
+		b, w = lasting(), &nettest.Link{}
+		x = b.s.Accept(w)
+		x.Data([]byte(nettest.Frame(1, "heartbeat", 1, []byte{2, 0, 1, 0})))
+		b.pass(29 * time.Second)
+		x.Data(submission(2)[:9])
+		return b, x, w
+	}
+	b, x, w := begin()
+	b.pass(1900 * time.Millisecond)
+	x.Data(submission(2)[9:])
+	if w.Half || len(b.taken) != 1 {
+		t.Errorf("half %v, %d taken past the idle time; want the request taken", w.Half, len(b.taken))
+	}
+	b, x, w = begin()
+	others := [5]nettest.Link{}
+	for i := range others {
+		b.s.Accept(&others[i]).Data([]byte(nettest.Frame(1, "heartbeat", 1, []byte{2, 0, 1, 0})))
+	}
+	x.Data(submission(2)[9:])
+	if w.Half || len(b.taken) != 1 || !others[0].Half {
+		t.Errorf("half %v, %d taken, the longest resting half-closed %v; want that one gone", w.Half, len(b.taken), others[0].Half)
+	}
+}
