Show that every form of a client's message is read, in any pieces

The tests read one form of each message. Fields of the structs in any order, absent or of every unknown type, a oneway sent as a call or without its argument, empty maps without types, and several messages in one segment are one table now, cut into single bytes and whole. No fault was found.

--- a/internal/clients/phases_test.go
+++ b/internal/clients/phases_test.go
@@ -216,3 +216,34 @@
 		t.Errorf("half %v, %d taken, the longest resting half-closed %v; want that one gone", w.Half, len(b.taken), others[0].Half)
 	}
 }
+
+// All forms that the protocol allows are one message each, however they come: fields of the structs in any order, absent
+// or unknown, a oneway sent as a call, maps without types where they are empty, several messages in one segment.
+func TestEveryFormOfAMessageIsRead(t *testing.T) {
+	whole := nettest.SubmitFrame(1, "body", request(ref)...)[4:]
+	args := whole[4+4+len("submit")+4 : len(whole)-1]
+	fieldMap, body := args[:len(args)-11], args[len(args)-11:]
+	unknown := "\x02\x00\x09\x01" + "\x03\x00\x0a\x07" + "\x04\x00\x0b12345678" + "\x06\x00\x0c12" + "\x08\x00\x0d1234" +
+		"\x0a\x00\x0e12345678" + "\x0b\x00\x0f\x00\x00\x00\x01x" + "\x0c\x00\x10\x0b\x00\x01\x00\x00\x00\x00\x00" +
+		"\x0d\x00\x11\x08\x0b\x00\x00\x00\x01\x00\x00\x00\x07\x00\x00\x00\x01y" + "\x0d\x00\x12\x00\x00\x00\x00\x00\x00" +
+		"\x0e\x00\x13\x08\x00\x00\x00\x01\x00\x00\x00\x01" + "\x0f\x00\x14\x0c\x00\x00\x00\x01\x00" + "\x0b\xff\xff\x00\x00\x00\x00"
+	submit := func(seq int32, args string) string { return nettest.Frame(1, "submit", seq, []byte(args)) }
+	stream := submit(1, body+fieldMap) + submit(2, unknown+fieldMap+unknown) +
+		nettest.Frame(1, "revoke", 8, []byte(unknown+"\x08\x00\x01\x00\x00\x00\x01")) + // sent as a call
+		nettest.Frame(4, "revoke", 9, nil) + nettest.Frame(4, "revoke", 9, []byte("\x08\x00\x01\x00\x00\x00\x63")) +
+		submit(3, fieldMap) + submit(4, "") + submit(5, "\x0d\x00\x01\x00\x00\x00\x00\x00\x00") +
+		nettest.Frame(1, "heartbeat", 6, nil) + nettest.Frame(1, "heartbeat", 7, []byte(unknown))
+	for _, piece := range []int{1, 7, len(stream)} {
+		b, w := lasting(), &nettest.Link{}
+		x := b.s.Accept(w)
+		for rest := stream; rest != ""; {
+			k := min(piece, len(rest))
+			x.Data([]byte(rest[:k]))
+			rest = rest[k:]
+		}
+		c := b.s.Counters
+		if x.phase != serving || len(b.taken) != 3 || b.withdrawn != 1 || c.Heartbeats != 2 || c.BadFields != 2 || c.BadMessage != 0 {
+			t.Errorf("pieces of %d: phase %d, %d taken, %d withdrawn, %+v", piece, x.phase, len(b.taken), b.withdrawn, c)
+		}
+	}
+}
