Let a message that has begun come whole, or be stuck, as the program parts

Seen by reading: Server.Part half-closed a connection 50 ms after its message had begun. The 50 ms come from what crosses a close; the last byte of a client that writes slowly comes later, on a connection that the machine accepted, and its request was read, dropped and never answered.

Change: amid a message a connection stays, for the 2 s that watch gives the rest; come whole, its request is refused at once as all new work is then. PartGrace is left for new connections. A client that leaves half a message keeps the program up to 2 s longer, never past DrainMost.

Measured: TestMessageThatHasBegunIsNotCutOff, part of the parting, fails before and passes after; packages clients and cmd/shaleyard pass.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -240,13 +240,13 @@
 }
 
 // Part ends all connections on which nothing is owed, as the program ends. It is called again until none is left; new
-// work is refused meanwhile. A message that has begun may come whole first.
+// work is refused meanwhile. A message that has begun may come whole first, and a new connection has a moment to bring one.
 func (s *Server) Part() {
 	s.parting = true
 	var free []*Session
 	now := s.now()
 	s.conns.All(func(_ director.Handle, x *Session) bool {
-		if !x.busy() && (x.begun == 0 || now-x.begun >= s.limits.PartGrace) {
+		if !x.busy() && !x.midway() && (x.begun == 0 || now-x.begun >= s.limits.PartGrace) {
 			free = append(free, x)
 		}
 		return true
--- a/internal/clients/phases_test.go
+++ b/internal/clients/phases_test.go
@@ -189,7 +189,7 @@
 	}
 }
 
-// A message that has begun to come may come whole: neither the end of an idle time nor a newcomer cuts it off. Its client
+// A message that has begun to come may come whole: neither the end of an idle time nor a newcomer nor the program's parting cuts it off. Its client
 // writes on, and a request whose end comes long behind our half-close would be lost.
 func TestMessageThatHasBegunIsNotCutOff(t *testing.T) {
 	begin := func() (b *bench, x *Session, w *nettest.Link) {
@@ -215,6 +215,23 @@
 	if w.Half || len(b.taken) != 1 || !others[0].Half {
 		t.Errorf("half %v, %d taken, the longest resting half-closed %v; want that one gone", w.Half, len(b.taken), others[0].Half)
 	}
+	b, x, w = begin()
+	for range 100 {
+		b.s.Part()
+		b.pass(5 * time.Millisecond)
+	}
+	x.Data(submission(2)[9:])
+	if w.Half || len(b.taken) != 1 {
+		t.Errorf("half %v, %d taken 0.5 s behind the parting; want the request taken, to be refused", w.Half, len(b.taken))
+	}
+	b, _, w = begin()
+	for range 420 {
+		b.s.Part()
+		b.pass(5 * time.Millisecond)
+	}
+	if !w.Half {
+		t.Error("a message that is stuck keeps the program from ending")
+	}
 }
 
 // All forms that the protocol allows are one message each, however they come: fields of the structs in any order, absent
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -55,7 +55,7 @@
 	ClientLingers int           // connections that linger at once, beyond ClientConns
 	LingerBytes   int           // that are read and dropped on a connection that is ending
 	FlushCheck    time.Duration // between looks whether a client has read what is left for it
-	PartGrace     time.Duration // a message that has begun when the program parts has so long to come whole
+	PartGrace     time.Duration // a new connection has so long for its first message when the program parts
 	OpenRequests  int           // requests taken and not answered
 	LongestAllow  time.Duration // that a client may wait
 	Overdue       time.Duration // past its time, a request without an answer is failed
