Don't cut a linger while the client is still taking its last answer

Seen on sockets: a client with little room had 240 KB of an answer in our system's buffer as the program parted. gnet's buffer was empty, so Part closed our half at once, and Session.cut closed the connection when the linger was over. The client, which the end had not reached, sent its next request: the closed socket answered with a reset, and the rest of the answer was lost. OutboundBuffered counts what gnet holds, not what the system does.

Change: loop.Conn tells what the peer's system has not taken (TIOCOUTQ; 0 where that can't be asked). Newcomers' room and DrainMost bound it as before.

Measured: TestSlowReaderGetsItsAnswerBehindOurHalfClose fails before (reset) and passes after.

--- a/cmd/shaleyard/stories_test.go
+++ b/cmd/shaleyard/stories_test.go
@@ -626,6 +626,48 @@
 	}
 }
 
+// A client reads slowly: as the program parts, the system holds an answer that the client has no room for. It can't know
+// of our end, sends its next request long behind it, and still gets the answer whole.
+func TestSlowReaderGetsItsAnswerBehindOurHalfClose(t *testing.T) {
+	s := launch(t, 1024, io.Discard, func(l *config.Limits) {
+		l.DrainAccept, l.DrainAnswer, l.DrainMost = 10*time.Millisecond, 10*time.Second, 20*time.Second
+		l.ClientLinger = 20 * time.Millisecond
+	})
+	cl := s.client()
+	cl.Narrow(16 << 10)
+	body := strings.Repeat("0123456789abcdef", 15_000)
+	cl.Submit(1, "", fields("media", ref1)...)
+	c := s.cache.Accept()
+	c.Command()
+	c.Answer(ref1, "OK", "n=HIT", body)
+	at := func(done func() bool) {
+		for yes := make(chan bool, 1); ; {
+			s.p.loop.Do(func() { yes <- done() })
+			select {
+			case ok := <-yes:
+				if ok {
+					return
+				}
+			case err := <-s.ended: // too soon: the client shows what came of it
+				s.ended <- err
+				return
+			}
+		}
+	}
+	at(func() bool { return s.p.clients.Counters.Answers == 1 })
+	s.p.loop.Do(s.p.stop)
+	var parted time.Duration
+	at(func() bool { parted = s.p.clock.now(); return s.p.clients.Counters.Lingering == 1 })
+	at(func() bool { return s.p.clock.now()-parted > 3*s.p.limits.ClientLinger })
+	cl.Submit(2, "", fields("media", ref2)...)
+	s.want(cl.Reply(), nettest.Reply{Seq: 1, Body: body, Good: true})
+	cl.EOF()
+	cl.Close()
+	if err := <-s.ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // SIGTERM may come while reloads wait behind one whose file takes long to read, and more of them than any channel holds.
 func TestStopIsNotLostBehindReloads(t *testing.T) {
 	s := launch(t, 1024, io.Discard, func(l *config.Limits) { l.DrainAccept = 10 * time.Millisecond })
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -190,7 +190,7 @@
 	case lingering:
 		s.Counters.Lingering++
 		s.lingers = append(s.lingers, x)
-		s.agenda.Set(&x.idle, s.now()+s.limits.ClientLinger, x.cut)
+		s.agenda.Set(&x.idle, s.now()+s.limits.ClientLinger, x.ebb)
 		if x.c.CloseWrite() != nil {
 			x.shut()
 		}
@@ -233,7 +233,17 @@
 	x.c.Close()
 }
 
-// cut ends a linger.
+// ebb ends a linger, unless the client is still taking what was left for it: it can't know of our end yet, and a message
+// that it sends behind our close would reset the connection and take the rest along.
+func (x *Session) ebb() {
+	if x.c.Unacknowledged() > 0 && x.s.now()-x.lastUse < x.s.limits.ClientIdle {
+		x.s.agenda.Set(&x.idle, x.s.now()+x.s.limits.ClientLinger, x.ebb)
+		return
+	}
+	x.cut()
+}
+
+// cut ends a linger at once.
 func (x *Session) cut() {
 	x.s.Counters.LingersCut++
 	x.shut()
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -31,18 +31,21 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"shaleyard/internal/director"
 	"shaleyard/rules"
 )
 
 // Conn is a connection as its owner sees it. A write never blocks; what the socket does not take at once is
-// kept and counted by OutboundBuffered. Close comes into effect after the caller has returned; over bytes that were
+// kept and counted by OutboundBuffered; what the socket has taken and the peer's has not is counted by
+// Unacknowledged, as far as the system tells, without our half's end. Close comes into effect after the caller has returned; over bytes that were
 // not read it resets the connection, and what the peer has not read of our answers is lost. CloseWrite ends our half
 // alone, behind all that was written.
 type Conn interface {
 	Writev([][]byte) (int, error)
 	OutboundBuffered() int
+	Unacknowledged() int
 	CloseWrite() error
 	Close() error
 }
@@ -55,6 +58,15 @@
 	return os.NewSyscallError("shutdown", syscall.Shutdown(s.Fd(), syscall.SHUT_WR))
 }
 
+// Unacknowledged implements Conn. Where the system can't tell it is 0.
+func (s socket) Unacknowledged() int {
+	n, err := unix.IoctlGetInt(s.Fd(), unix.TIOCOUTQ)
+	if err != nil {
+		return 0
+	}
+	return max(0, n-1) // the end of our half counts as a byte
+}
+
 // Session takes what a connection brings, on the loop. An error of Data closes the connection.
 type Session interface {
 	Data([]byte) error
--- a/internal/nettest/nettest.go
+++ b/internal/nettest/nettest.go
@@ -83,6 +83,9 @@
 	}
 }
 
+// Narrow bounds what the system takes in for the test before the test reads it.
+func (c *Conn) Narrow(bytes int) { c.c.(*net.TCPConn).SetReadBuffer(bytes) }
+
 // Reset closes the connection so that the other side sees a reset.
 func (c *Conn) Reset() {
 	c.c.(*net.TCPConn).SetLinger(0)
@@ -264,6 +267,7 @@
 type Link struct {
 	Text   strings.Builder
 	Unread int // what OutboundBuffered tells
+	OnWay  int // what Unacknowledged tells
 	Half   bool
 	Closed bool
 }
@@ -280,6 +284,9 @@
 // OutboundBuffered is Unread.
 func (l *Link) OutboundBuffered() int { return l.Unread }
 
+// Unacknowledged is OnWay.
+func (l *Link) Unacknowledged() int { return l.OnWay }
+
 // CloseWrite notes that it was called.
 func (l *Link) CloseWrite() error {
 	l.Half = true
