--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -51,7 +51,7 @@
 	classes map[string]int
 	conns   *director.Table[*Session]
 	lingers []*Session // eldest first; they are not among conns
-	parting bool       // the program ends: any number may linger, as no place is wanted
+	parting bool       // the program ends: more may linger, in the places that are free
 	out     writer
 	tail    writer
 	frame   []byte // scratch: a frame that came in pieces
@@ -114,17 +114,33 @@
 	s.Counters.Accepted++
 	x.handle, x.lastUse, x.begun = h, s.now(), s.now()
 	x.watch()
+	s.trim()
 	return x
 }
 
+// trim cuts the eldest that linger, beyond what the descriptors leave for them. As the program ends nearly all linger
+// at once: they may have the places that are free then, but newcomers still take those.
+func (s *Server) trim() {
+	most := s.limits.ClientLingers
+	if s.parting {
+		most += s.limits.ClientConns - s.conns.Len()
+	}
+	for len(s.lingers) > most {
+		s.lingers[0].cut()
+	}
+}
+
 // evict closes the connection that is missed least, so that those who connect and say nothing, or keep a
 // connection for good, can't shut others out: one that has been idle for longer than clients keep theirs, else
-// the eldest that has brought no message yet, else the longest idle. One that is owed an answer stays.
+// the eldest that has brought no message yet, else the longest idle, else one that is just bringing a message.
+// One that is owed an answer stays.
 func (s *Server) evict() {
 	var worst *Session
 	now := s.now()
 	class := func(x *Session) int {
 		switch {
+		case x.midway():
+			return 3
 		case x.spoke && now-x.lastUse > s.limits.ClientKeeps:
 			return 0
 		case !x.spoke:
@@ -149,6 +165,9 @@
 // busy tells whether an answer is owed, or not yet passed on whole: a close would lose it.
 func (x *Session) busy() bool { return len(x.open) > 0 || x.c.OutboundBuffered() > 0 }
 
+// midway tells that a part of a message has come, and not all of it.
+func (x *Session) midway() bool { return x.want != 0 || len(x.head) > 0 }
+
 // move takes the session on to a later phase; it is the one place where the phase changes.
 func (x *Session) move(to phase) {
 	if to <= x.phase {
@@ -157,7 +176,7 @@
 	s, from := x.s, x.phase
 	x.phase = to
 	x.got.Release()
-	x.begun, x.want = 0, 0
+	x.begun, x.want, x.head = 0, 0, nil
 	if from == lingering {
 		s.lingers = slices.DeleteFunc(s.lingers, func(o *Session) bool { return o == x })
 	} else if to >= lingering {
@@ -171,13 +190,11 @@
 	case lingering:
 		s.Counters.Lingering++
 		s.lingers = append(s.lingers, x)
-		s.agenda.Set(&x.idle, s.now()+s.limits.ClientLinger, x.cut)
+		s.agenda.Set(&x.idle, s.now()+s.limits.ClientLinger, x.ebb)
 		if x.c.CloseWrite() != nil {
 			x.shut()
 		}
-		if len(s.lingers) > s.limits.ClientLingers && !s.parting {
-			s.lingers[0].cut()
-		}
+		s.trim()
 	case closed:
 		s.Counters.Closed++
 		s.agenda.Drop(&x.idle)
@@ -216,20 +233,30 @@
 	x.c.Close()
 }
 
-// cut ends a linger.
+// ebb ends a linger, unless the client is still taking what was left for it: it can't know of our end yet, and a message
+// that it sends behind our close would reset the connection and take the rest along.
+func (x *Session) ebb() {
+	if x.c.Unacknowledged() > 0 && x.s.now()-x.lastUse < x.s.limits.ClientIdle {
+		x.s.agenda.Set(&x.idle, x.s.now()+x.s.limits.ClientLinger, x.ebb)
+		return
+	}
+	x.cut()
+}
+
+// cut ends a linger at once.
 func (x *Session) cut() {
 	x.s.Counters.LingersCut++
 	x.shut()
 }
 
 // Part ends all connections on which nothing is owed, as the program ends. It is called again until none is left; new
-// work is refused meanwhile. A message that has begun may come whole first.
+// work is refused meanwhile. A message that has begun may come whole first, and a new connection has a moment to bring one.
 func (s *Server) Part() {
 	s.parting = true
 	var free []*Session
 	now := s.now()
 	s.conns.All(func(_ director.Handle, x *Session) bool {
-		if !x.busy() && (x.begun == 0 || now-x.begun >= s.limits.PartGrace) {
+		if !x.busy() && !x.midway() && (x.begun == 0 || now-x.begun >= s.limits.PartGrace) {
 			free = append(free, x)
 		}
 		return true
@@ -260,14 +287,17 @@
 	if len(x.open) > 0 {
 		due = x.s.now() + l.ClientIdle
 	}
-	if x.begun != 0 {
+	switch {
+	case x.midway(): // not idle: its client writes on
+		due = x.begun + l.ClientMessage
+	case x.begun != 0:
 		due = min(due, x.begun+l.ClientMessage)
 	}
 	x.s.agenda.Set(&x.idle, due, func() {
 		switch now := x.s.now(); {
 		case x.begun != 0 && now-x.begun >= l.ClientMessage:
 			x.s.Counters.Mute++
-		case len(x.open) == 0 && now-x.lastUse >= l.ClientIdle:
+		case len(x.open) == 0 && !x.midway() && now-x.lastUse >= l.ClientIdle:
 			x.s.Counters.Idle++
 			if x.busy() { // it has not read its last answer in all that time
 				x.shut()
@@ -318,6 +348,9 @@
 				x.s.Counters.BadFrame++
 				return fmt.Errorf("frame of %d bytes", x.want)
 			}
+			if len(p) == 0 {
+				x.watch()
+			}
 			continue
 		}
 		if x.got.Len() == 0 && len(p) >= x.want { // whole in one piece
@@ -611,10 +644,8 @@
 		size += len(p)
 	}
 	s := x.s
-	if s.backlog += size; s.backlog > s.limits.TotalBacklog {
-		s.backlog = s.Unsent() + size
-	}
-	if x.c.OutboundBuffered()+size > s.limits.ClientBacklog || s.backlog > s.limits.TotalBacklog {
+	s.backlog += size
+	if x.c.OutboundBuffered()+size > s.limits.ClientBacklog {
 		s.Counters.Backlogged++
 		x.shut()
 		return
@@ -623,4 +654,24 @@
 	if _, err := x.c.Writev(parts); err != nil {
 		x.shut()
 	}
+	s.relieve()
+}
+
+// relieve closes those who have left the most unread, until all together keep within their bound. It comes behind the
+// write, as what a close withdraws may bring answers to others.
+func (s *Server) relieve() {
+	for s.backlog > s.limits.TotalBacklog {
+		if s.backlog = s.Unsent(); s.backlog <= s.limits.TotalBacklog {
+			return
+		}
+		var worst *Session
+		s.conns.All(func(_ director.Handle, x *Session) bool {
+			if worst == nil || x.c.OutboundBuffered() > worst.c.OutboundBuffered() {
+				worst = x
+			}
+			return true
+		})
+		s.Counters.Backlogged++
+		worst.shut()
+	}
 }
