--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -53,9 +53,9 @@
 	peers  map[rules.Host]*peer
 	calls  map[director.Handle]*call
 	conns  *director.Table[*conn]
-	keep   rules.Time // an idle connection is used again for so long: learnt from resets
-	files  int        // descriptors in use: two while a dial is handed to the loop, then one
-	held   bool       // nothing is written, until Release
+	idle   pacing.Idle // for how long an idle connection is used again
+	files  int         // descriptors in use: two while a dial is handed to the loop, then one
+	held   bool        // nothing is written, until Release
 	head   []byte
 	iov    [][]byte
 }
@@ -69,7 +69,9 @@
 	conns   []*conn
 	pace    pacing.Conns
 	left    bool
-	logAt   rules.Time // no line on it before
+	ended   rules.Time     // when it last ended a connection
+	crossed director.Entry // a request was lost to that, as far as is known: its lesson is drawn a moment later
+	logAt   rules.Time     // no line on it before
 }
 
 // phase is where a connection is in its life; docs/lifecycles.md tells what each event does in each. It only goes
@@ -121,7 +123,7 @@
 func NewFleet(l *config.Limits, s *rules.Settings, pool *buffer.Pool, d loop.Dialer, e Ender, a *director.Agenda,
 	now func() rules.Time, log *zap.Logger, seed uint64) *Fleet {
 	return &Fleet{rng: rand.New(rand.NewPCG(seed, 4)), limits: l, fields: s.Report.Fields, pool: pool, dialer: d, ender: e, agenda: a, now: now, log: log,
-		keep: l.PeerIdle, peers: map[rules.Host]*peer{}, calls: map[director.Handle]*call{},
+		idle: pacing.NewIdle(l.PeerKeepLeast, l.PeerIdle), peers: map[rules.Host]*peer{}, calls: map[director.Handle]*call{},
 		conns: director.NewTable[*conn](l.PeerConns)}
 }
 
@@ -153,6 +155,7 @@
 	moved := p.address != address
 	p.address, p.started = address, started
 	p.pace.Started(started)
+	f.agenda.Drop(&p.crossed)
 	f.Counters.Restarted++
 	for _, c := range append([]*conn(nil), p.conns...) {
 		// The news come late: what was opened since the start belongs to the new life already, and to
@@ -170,6 +173,7 @@
 		return
 	}
 	p.left = true
+	f.agenda.Drop(&p.crossed)
 	for _, c := range append([]*conn(nil), p.conns...) {
 		c.rest()
 	}
@@ -340,7 +344,7 @@
 	if len(c.open) == 0 && c.parser.midway() {
 		return false // what comes next would be read as the rest of an answer that was given up
 	}
-	if len(c.open) == 0 && c.phase == up && now-c.rested > f.keep {
+	if len(c.open) == 0 && c.phase == up && now-c.rested > f.idle.Keep(now) {
 		f.Counters.Stale++
 		c.shut()
 		return false
@@ -540,6 +544,9 @@
 	line := c.line
 	c.line = nil
 	c.p.pace.Failed(c.f.now(), len(c.p.conns)-c.p.opening())
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		c.f.agenda.Drop(&c.p.crossed) // its process has ended
+	}
 	c.move(dry)
 	for _, k := range line {
 		if c.open[k.id] == k {
@@ -599,26 +606,29 @@
 	c.gone(rules.Reset)
 }
 
-// crossed learns from a connection that was reset under the first request after it had been idle: a peer, or
-// what lies between, drops idle connections sooner than the settings tell. Idle ones are used again for less
-// long from then on.
+// crossed learns from a connection that was reset under the first request after it had been idle: a peer, or what lies
+// between, drops idle connections sooner than the settings tell, and idle ones are used again for less long from then on.
+// A reset that comes long behind the request did not cross it. Nor does a peer that has died say anything of idle times:
+// it ends all its connections at once, and refuses the next one. So the lesson waits for a moment, and is dropped if either
+// shows.
 func (f *Fleet) crossed(c *conn) {
+	p, now := c.p, f.now()
+	alone := !p.crossed.Pending() && (p.ended == 0 || now-p.ended > f.limits.PeerCrossing)
+	p.ended = now
+	f.agenda.Drop(&p.crossed)
+	if !alone || len(c.open) != 1 {
+		return
+	}
 	for _, k := range c.open {
-		if k.written && k.gap > 0 && len(c.open) == 1 {
-			f.Counters.Crossed++
-			f.keep = max(f.limits.PeerKeepLeast, min(f.keep, k.gap)*3/4)
+		if k.written && k.gap > 0 && now-k.at <= f.limits.PeerCrossing {
+			f.agenda.Set(&p.crossed, now+f.limits.PeerCrossing, func() {
+				f.Counters.Crossed++
+				f.idle.Crossed(f.now(), k.gap)
+			})
 		}
 	}
 }
 
-// bore learns from an answer on a connection that had been idle for nearly as long as is allowed: slowly, so
-// that one in many is risked to find that idle connections hold again.
-func (f *Fleet) bore(k *call) {
-	if k.gap > f.keep*3/4 {
-		f.keep = min(f.limits.PeerIdle, f.keep+f.keep/64)
-	}
-}
-
 // lost ends a connection whose socket has failed under a write.
 func (c *conn) lost() { c.gone(rules.Reset) }
 
@@ -699,7 +709,7 @@
 	}
 	f.Counters.Answers++
 	c.served++
-	f.bore(k)
+	f.idle.Held(f.now(), k.gap)
 	f.drop(k)
 	e, err := f.ending(a, k)
 	if err != nil {
--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -36,7 +36,8 @@
 
 func newBench() *bench {
 	b := &bench{clock: 1000 * time.Second, ends: map[director.Handle]rules.Result{}}
-	l := &config.Limits{PeerConns: 8, StreamsPerConn: 2, PeerIdle: 10 * time.Second, PeerKeepLeast: 50 * time.Millisecond, PeerGhost: 5 * time.Second, PeerSilence: time.Second,
+	l := &config.Limits{PeerConns: 8, StreamsPerConn: 2, PeerIdle: 10 * time.Second, PeerKeepLeast: 50 * time.Millisecond,
+		PeerCrossing: 50 * time.Millisecond, PeerGhost: 5 * time.Second, PeerSilence: time.Second,
 		AnswerBody: 100, AnswerFields: 100}
 	s := &rules.Settings{Report: rules.ReportSettings{Fields: []string{"active", "x1"}}}
 	b.f = NewFleet(l, s, buffer.NewPool(64, 64), b, b, &b.agenda, func() rules.Time { return b.clock }, zap.NewNop(), 1)
@@ -196,6 +197,7 @@
 		b.dials[1].Opened(&nettest.Link{})
 		b.dials[1].Data([]byte(bulk("r3", "OK", "-", "x")))
 		b.clock += 300 * time.Millisecond
+		b.agenda.Run(b.clock)
 		b.send(4, "r4")
 		if got := len(b.dials) == 2; got != c.want {
 			t.Errorf("after %v idle: used again %v, want %v", c.idle, got, c.want)
@@ -203,6 +205,60 @@
 	}
 }
 
+// Found on a day with cold caches: each director took the resets of a cache that died for idle times that were too long,
+// at all caches, and for good: every attempt opened a connection from then on. Only a request that crossed the close of
+// its connection alone tells of idle times, and what it tells ages.
+func TestOnlyCrossingsTeachIdleTimes(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(*bench)
+		want time.Duration // idle connections are used again for
+	}{
+		"crossed":               {func(b *bench) { b.dials[0].Closed() }, 225 * time.Millisecond},
+		"reset while it worked": {func(b *bench) { b.clock += 51 * time.Millisecond; b.dials[0].Closed() }, 10 * time.Second},
+		"the peer has died": {func(b *bench) {
+			b.dials[0].Closed()
+			b.clock += 10 * time.Millisecond
+			b.dials[1].Closed()
+		}, 10 * time.Second},
+		"an idle one first": {func(b *bench) { b.dials[1].Closed(); b.dials[0].Closed() }, 10 * time.Second},
+		"the next is refused": {func(b *bench) {
+			b.dials[0].Closed()
+			b.dials[1].Closed()
+			b.clock += 200 * time.Millisecond
+			b.send(9, "r9")
+			b.dials[2].Opened(&nettest.Link{})
+			b.dials[2].Data([]byte(bulk("r9", "OK", "-", "x")))
+			b.clock += 300 * time.Millisecond
+			b.send(10, "r10")
+			b.dials[2].Closed()
+			b.send(11, "r11")
+			b.dials[3].Failed(fmt.Errorf("connect: %w", syscall.ECONNREFUSED))
+		}, 10 * time.Second},
+		"a new life": {func(b *bench) { b.dials[0].Closed(); b.f.Join(1, "c1", "a", b.clock) }, 10 * time.Second},
+		"gone":       {func(b *bench) { b.dials[0].Closed(); b.f.Leave(1) }, 10 * time.Second},
+	} {
+		b := newBench()
+		b.f.limits.ConnsPerPeer = 4
+		b.send(1, "r1")
+		b.send(2, "r2")
+		for i, ref := range []string{"r1", "r2"} {
+			b.dials[i].Opened(&nettest.Link{})
+			b.dials[i].Data([]byte(bulk(ref, "OK", "-", "x")))
+		}
+		b.clock += 300 * time.Millisecond
+		b.send(3, "r3")
+		if b.f.calls[3].c != b.dials[0] {
+			b.dials[0], b.dials[1] = b.dials[1], b.dials[0]
+		}
+		c.end(b)
+		b.clock += b.f.limits.PeerCrossing
+		b.agenda.Run(b.clock)
+		if got := b.f.idle.Keep(b.clock); got != c.want {
+			t.Errorf("%s: idle ones are used again for %v, want %v", name, got, c.want)
+		}
+	}
+}
+
 // A dial that is reset, other than one that is refused, does not prove that nobody is there: nothing has run, and
 // it is made again, but not without end.
 func TestResetDialIsMadeAgain(t *testing.T) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -68,6 +68,7 @@
 	ConnectTimeout time.Duration // a connection not up by then has failed
 	PeerIdle       time.Duration // an idle connection is closed after this
 	PeerKeepLeast  time.Duration // connections idle for less are used again, whatever resets teach
+	PeerCrossing   time.Duration // a request that is reset within this of its writing may have crossed the close of an idle connection
 	PeerSilence    time.Duration // asked and silent for so long, a connection takes nothing new
 	PeerGhost      time.Duration // an answer that crosses a STOP is looked out for so long
 	AnswerBody     int           // bytes of an object
@@ -263,6 +264,7 @@
 		ConnectTimeout: time.Second,
 		PeerIdle:       15 * time.Second,
 		PeerKeepLeast:  50 * time.Millisecond,
+		PeerCrossing:   50 * time.Millisecond, // protocol page, of the close of an idle connection
 		PeerSilence:    time.Second,
 		PeerGhost:      5 * time.Second,
 		AnswerBody:     240_000,
