--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -80,8 +80,19 @@
 	s.rec.log("PUT /healthcheck/fail: %d %v", status, err)
 }
 
-// slowBacklog has ten clients read at 1 MB a second, with up to 32 requests open on each connection. Without the
-// disruption they read as fast as the answers come.
+// turns gives the right to send a request so many times a second.
+func turns(perSecond int) chan struct{} {
+	given := make(chan struct{})
+	go func() {
+		for range time.Tick(time.Second / time.Duration(perSecond)) {
+			given <- struct{}{}
+		}
+	}()
+	return given
+}
+
+// slowBacklog has ten of twenty clients read at 1 MB a second, with up to 32 requests open on each connection. Without
+// the disruption they read as fast as the answers come.
 func slowBacklog(s *stage, trouble bool) (bool, error) {
 	s.memoryMB, s.sockets = 96, 512
 	if err := s.ready(); err != nil {
@@ -91,17 +102,15 @@
 	if trouble {
 		pace = slowPace
 	}
-	wanted := load{open: 32, until: 6 * time.Second, turn: make(chan struct{}), repayments: 30}
-	go func() {
-		for range time.Tick(time.Second / 160) { // all clients together, below the 170 a second of the pages
-			wanted.turn <- struct{}{}
-		}
-	}()
+	const lasts = 6 * time.Second
+	// All clients together send 160 requests a second, below the 170 of the pages.
+	many := load{open: 32, until: lasts, turn: turns(120), repayments: 30}
+	few := load{open: 4, until: lasts, turn: turns(40), repayments: 30}
 	var clients []*client
-	for i := range 10 {
-		c, err := dialClient(s.rec, fmt.Sprintf("client%d", i+1), s.listen, pace)
+	begin := func(name string, wanted load, pace int) error {
+		c, err := dialClient(s.rec, name, s.listen, pace)
 		if err != nil {
-			return false, err
+			return err
 		}
 		clients = append(clients, c)
 		c.watch(500 * time.Millisecond)
@@ -110,8 +119,17 @@
 				s.rec.log("%s can't send: %v", c.name, err)
 			}
 		}()
+		return nil
+	}
+	for i := range 10 {
+		if err := begin(fmt.Sprintf("slow%d", i+1), many, pace); err != nil {
+			return false, err
+		}
+		if err := begin(fmt.Sprintf("fast%d", i+1), few, 0); err != nil {
+			return false, err
+		}
 	}
-	time.Sleep(wanted.until)
+	time.Sleep(lasts)
 	return s.judge(clients), nil
 }
 
@@ -156,6 +174,7 @@
 // Figures of the rule on purges.
 const (
 	toldAfterBreak = 2 * time.Second        // what a feed that has broken off would have told counts as told
+	toldAfterStop  = 4 * time.Second        // the same for a feed that says nothing and stays open
 	purgeSlack     = 500 * time.Millisecond // of the settings
 	socketSlack    = 50 * time.Millisecond  // every time limit on sockets is longer by this
 	purgeDone      = 6 * time.Second        // until caches have dropped all older copies
@@ -199,13 +218,15 @@
 	if err := <-upAgain; err != nil {
 		return false, err
 	}
-	old := s.oldCopies(purgedAt, told.Add(purgeSlack+socketSlack))
+	old := s.oldCopies("the bound", purgedAt, told.Add(purgeSlack+socketSlack))
+	s.oldCopies("the bound for a feed that stops, for comparison", purgedAt,
+		told.Add(toldAfterStop-toldAfterBreak+purgeSlack+socketSlack))
 	return s.judge([]*client{c}) || old > 0, nil
 }
 
-// oldCopies returns how many requests that a cache received after the bound were answered with a copy from before the
+// oldCopies returns how many requests that a cache received after a bound were answered with a copy from before the
 // purge.
-func (s *stage) oldCopies(purgedAt, bound time.Time) int {
+func (s *stage) oldCopies(name string, purgedAt, bound time.Time) int {
 	old, all := 0, 0
 	for _, cache := range s.caches {
 		cache.mu.Lock()
@@ -213,13 +234,13 @@
 			all++
 			if copied.received.After(bound) && copied.since.Before(purgedAt) {
 				old++
-				s.rec.log("OLD COPY: %s sent %.1f ms after the bound", copied.request,
-					float64(copied.received.Sub(bound).Microseconds())/1000)
+				s.rec.log("OLD COPY: %s sent %.1f ms after %s", copied.request,
+					float64(copied.received.Sub(bound).Microseconds())/1000, name)
 			}
 		}
 		cache.mu.Unlock()
 	}
-	s.rec.say("%d answers with the object, %d of them sent after the bound and from a copy older than the purge", all,
-		old)
+	s.rec.say("%d answers with the object, %d of them from a copy older than the purge and sent after %s", all, old,
+		name)
 	return old
 }
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 )
 
 // Exit statuses.
@@ -26,7 +27,10 @@
 	"drain-cut-off":   drainCutOff,
 }
 
-func main() { os.Exit(run()) }
+func main() {
+	runtime.LockOSThread() // the director ends with the thread that has started it
+	os.Exit(run())
+}
 
 func run() int {
 	name := flag.String("case", "", "the case")
