--- a/review/rig2/director.go
+++ b/review/rig2/director.go
@@ -24,6 +24,8 @@
 	Cores    float64
 	MemoryMB int
 	Sockets  int
+	// Listening is the clients' listening socket, which the director inherits as descriptor 4; nil: it opens its own.
+	Listening *os.File
 }
 
 // Director is a director that the run command of the deploy file has started.
@@ -83,7 +85,7 @@
 }
 
 // Start starts a director. Its log goes to a file in a temporary folder, which Kill removes.
-func Start(config Config, files ...*os.File) (*Director, error) {
+func Start(config Config) (*Director, error) {
 	run, err := RunCommand("run")
 	if err != nil {
 		return nil, err
@@ -106,8 +108,8 @@
 	if config.Operator != "" {
 		command.Env = append(command.Env, "EDGE_OPERATOR="+config.Operator)
 	}
-	if len(files) > 0 {
-		command.ExtraFiles = append([]*os.File{nil}, files...) // descriptor 4 is the first of files
+	if config.Listening != nil {
+		command.ExtraFiles = []*os.File{nil, config.Listening} // the descriptors 3 and 4
 		command.Env = append(command.Env, "EDGE_FD=4")
 	}
 	command.Stdout, command.Stderr = logFile, logFile
