--- a/review/rig2/feed.go
+++ b/review/rig2/feed.go
@@ -32,6 +32,7 @@
 	index    int
 	conns    map[*feedConn]bool
 	silent   bool // new and open connections are told nothing
+	beats    chan struct{}
 }
 
 type feedConn struct {
@@ -45,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Feed{listener: listener, record: record, conns: map[*feedConn]bool{}}
+	f := &Feed{listener: listener, record: record, conns: map[*feedConn]bool{}, beats: make(chan struct{})}
 	f.addMembers(true, list)
 	go f.accept()
 	go f.beat()
@@ -131,9 +132,16 @@
 			}
 		}
 		f.mu.Unlock()
+		select {
+		case f.beats <- struct{}{}:
+		default:
+		}
 	}
 }
 
+// WaitBeat waits until the feed has written its next line with the last number.
+func (f *Feed) WaitBeat() { <-f.beats }
+
 func (f *Feed) accept() {
 	for {
 		conn, err := f.listener.Accept()
