--- a/review/10/main.go
+++ b/review/10/main.go
@@ -1,5 +1,5 @@
-// Command 10 plays case 10 of the second review: the control feed stops while it stays open, and tells what it held back
-// when it goes on.
+// Command 10 plays case 10 of the second review: the control feed stops while it stays open, and tells what it held
+// back when it goes on.
 package main
 
 import (
@@ -119,7 +119,8 @@
 func play(record *rig2.Record) (int, error) {
 	w := &world{record: record}
 	w.begin()
-	fleet, err := rig2.StartFleet(record, 3, w.handle, func(config *rig2.Config) { config.Settings = rig2.Settings(3) })
+	change := func(config *rig2.Config) { config.Settings = rig2.Settings(3) }
+	fleet, err := rig2.StartFleet(record, 3, w.handle, change)
 	defer fleet.Stop()
 	if err != nil {
 		return rig2.NotRun, err
@@ -135,7 +136,7 @@
 	group.Wait()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	record.Logf("%d served, %d answers to requests that had to obey a purge, %d of them from a copy older than it", served,
+	record.Logf("%d served, %d answers to requests that had to obey a purge, %d of them from an older copy", served,
 		w.checked, w.broken)
 	switch {
 	case w.broken > 0:
