--- a/review/10/main.go
+++ b/review/10/main.go
@@ -109,8 +109,8 @@
 		version)
 	if bound && version == "old" {
 		w.broken++
-		w.record.Logf("BROKEN: %s was sent %v after the purge had to be obeyed, and is answered from a copy that is %v "+
-			"older than the purge", call.ID, now.Sub(w.bindsAt), w.purgedAt.Sub(since))
+		w.record.Logf("BROKEN: %s was sent %v after the purge had to be obeyed, and is answered from a copy %v older "+
+			"than the purge", call.ID, now.Sub(w.bindsAt), w.purgedAt.Sub(since))
 	}
 	fields := fmt.Sprintf("n=%s,rev=r%d,since=%d", note, since.UnixMilli(), since.UnixMilli())
 	call.Conn.Answer(call.ID, "OK", fields, rig2.Body(call.Fields["asset"], size))
