--- a/review/rig2/director.go
+++ b/review/rig2/director.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -121,9 +122,20 @@
 		_ = command.Wait()
 		close(d.done)
 	}()
+	running.Store(d, true)
 	return d, nil
 }
 
+// running holds the directors that were started and not killed.
+var running sync.Map
+
+func killAll() {
+	running.Range(func(director, _ any) bool {
+		director.(*Director).Kill()
+		return true
+	})
+}
+
 // Signal sends a signal to the director.
 func (d *Director) Signal(signal syscall.Signal) { _ = d.command.Process.Signal(signal) }
 
@@ -166,6 +178,7 @@
 func (d *Director) Kill() {
 	d.Signal(syscall.SIGKILL)
 	<-d.done
+	running.Delete(d)
 	_ = d.log.Close()
 	_ = os.RemoveAll(d.folder)
 }
--- a/review/rig2/record.go
+++ b/review/rig2/record.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -63,6 +65,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(NotRun)
 	}
+	go giveUp()
 	status, err := play(record)
 	if err != nil {
 		record.Logf("could not run: %v", err)
@@ -73,3 +76,18 @@
 	record.Close()
 	os.Exit(status)
 }
+
+// longest is the time that a case may take.
+const longest = 115 * time.Second
+
+// giveUp ends the case without a result, and the directors that it started, when it is told to end or takes too long.
+func giveUp() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-told:
+	case <-time.After(longest):
+	}
+	killAll()
+	os.Exit(NotRun)
+}
