--- a/review/10/main.go
+++ b/review/10/main.go
@@ -1,12 +1,10 @@
-// Command 10 plays case 10 of the second review: the control feed stops while it stays open, and tells what it held
-// back when it goes on.
+// Command 10 plays case 10 of the second review: a drain beside clients that read slowly and go on using their
+// connections.
 package main
 
 import (
-	"bytes"
 	"fmt"
-	"strconv"
-	"strings"
+	"net/http"
 	"sync"
 	"time"
 
@@ -14,181 +12,78 @@
 )
 
 const (
-	cycles    = 8
-	settled   = 5 * time.Second        // the feed is well for so long before each stop
-	phase     = 950 * time.Millisecond // from the feed's last line to the stop
-	stopped   = 4 * time.Second
-	rest      = 6500 * time.Millisecond // from the stop to the end of a cycle
-	tellAfter = 200 * time.Millisecond  // a purge is in the feed so long after it happened (99 to 320 ms)
-	dropAfter = 5900 * time.Millisecond // an older copy is dropped so long after the purge (6 s at most)
-	// told is when the purge counts as told at the latest: 4 s after the stop; heed is the time to obey it, with 50 ms.
-	told  = 4 * time.Second
-	heed  = 550 * time.Millisecond
-	slack = 20 * time.Millisecond // for the stand-ins' own delays
-	size  = 2_000
-	allow = 3 * time.Second
+	slowClients = 6
+	size        = 60_000 // bytes of an object
+	pace        = 64_000 // bytes a second that a slow client reads
+	drainAfter  = 3 * time.Second
+	sendFor     = 5 * time.Second // after the call
+	allow       = 5 * time.Second
 )
 
 func main() { rig2.Main(play) }
 
-// world is what the caches hold of the one object of a cycle.
-type world struct {
-	mu       sync.Mutex
-	record   *rig2.Record
-	object   string
-	copies   map[string]time.Time // since, by cache
-	purgedAt time.Time            // zero: not purged
-	bindsAt  time.Time            // requests sent later may not be answered from an older copy
-	broken   int
-	checked  int // answers after bindsAt
-}
-
-// begin begins a cycle with a new object, of which no cache has a copy.
-func (w *world) begin() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.object = rig2.Ref()
-	w.copies = map[string]time.Time{}
-	w.purgedAt, w.bindsAt = time.Time{}, time.Time{}
-}
-
-// held reports whether the rule has held until now.
-func (w *world) held() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.broken == 0
-}
-
-func (w *world) purge(at, bindsAt time.Time) string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.purgedAt, w.bindsAt = at, bindsAt
-	return w.object
-}
-
-// handle is what a cache does: it answers from its copy if that is young enough, else it fills from the origin.
-func (w *world) handle(cache string, call *rig2.Call) {
-	if call.Word != "REQ" {
-		return
-	}
-	now := time.Now()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if call.Fields["asset"] != w.object {
-		call.Conn.Answer(call.ID, "ERR", "-", nil)
-		return
-	}
-	since, held := w.copies[cache]
-	older := held && !w.purgedAt.IsZero() && since.Before(w.purgedAt)
-	if older && now.Sub(w.purgedAt) > dropAfter {
-		held = false
-	}
-	limit, _ := strconv.Atoi(call.Fields["cap"])
-	if held && (limit == 0 || now.Sub(since) <= time.Duration(limit)*time.Millisecond) {
-		w.answer(cache, call, since, now, "HIT")
-		return
-	}
-	if call.Fields["up"] == "" || strings.Contains(call.Fields["do"], "peek") {
-		call.Conn.Answer(call.ID, "MISS", "n=UP_MISS", nil)
-		return
-	}
-	w.copies[cache] = now
-	w.answer(cache, call, now, now, "MISS_ORIGIN")
-}
-
-func (w *world) answer(cache string, call *rig2.Call, since, now time.Time, note string) {
-	version := "new"
-	if !w.purgedAt.IsZero() && since.Before(w.purgedAt) {
-		version = "old"
-	}
-	bound := !w.bindsAt.IsZero() && now.After(w.bindsAt.Add(slack))
-	if bound {
-		w.checked++
-	}
-	w.record.Logf("%s: %s, cap %q, up %q: %s, %s copy", cache, call.ID, call.Fields["cap"], call.Fields["up"], note,
-		version)
-	if bound && version == "old" {
-		w.broken++
-		w.record.Logf("BROKEN: %s was sent %v after the purge had to be obeyed, and is answered from a copy %v older "+
-			"than the purge", call.ID, now.Sub(w.bindsAt), w.purgedAt.Sub(since))
-	}
-	fields := fmt.Sprintf("n=%s,rev=r%d,since=%d", note, since.UnixMilli(), since.UnixMilli())
-	call.Conn.Answer(call.ID, "OK", fields, rig2.Body(call.Fields["asset"], size))
-}
-
 func play(record *rig2.Record) (int, error) {
-	w := &world{record: record}
-	w.begin()
-	change := func(config *rig2.Config) { config.Settings = rig2.Settings(3) }
-	fleet, err := rig2.StartFleet(record, 3, w.handle, change)
+	handle := func(cache string, call *rig2.Call) {
+		if call.Word == "REQ" {
+			record.Logf("%s: ran %s", cache, call.ID)
+			time.Sleep(20 * time.Millisecond)
+			call.Conn.Raw(rig2.Good(call.ID, call.Fields["asset"], size))
+		}
+	}
+	fleet, err := rig2.StartFleet(record, 3, handle, nil)
 	defer fleet.Stop()
 	if err != nil {
 		return rig2.NotRun, err
 	}
-	over := make(chan struct{})
+	address := fleet.Director.Config.Listen
+	end := time.Now().Add(drainAfter + sendFor)
 	var group sync.WaitGroup
-	served := 0
-	group.Go(func() { served = w.ask(fleet.Director.Config.Listen, over) })
-	for i := 0; i < cycles && w.held(); i++ {
-		w.cycle(fleet.Feed)
+	results := make([]rig2.SlowResult, slowClients)
+	for i := range slowClients {
+		group.Go(func() {
+			time.Sleep(time.Duration(i) * 150 * time.Millisecond)
+			client := &rig2.SlowClient{
+				Record: record, Name: fmt.Sprint("client ", i), Rate: pace, SendAfter: 0.85, Allow: allow,
+				Until:  func() bool { return time.Now().Before(end) },
+				Fields: func() map[string]string { return rig2.Request("media", rig2.Ref(), allow) },
+			}
+			results[i], _ = client.Run(address)
+		})
+	}
+	time.Sleep(drainAfter)
+	if rig2.Trouble() {
+		if err := drain(record, fleet.Director.Config.Operator); err != nil {
+			return rig2.NotRun, err
+		}
 	}
-	close(over)
 	group.Wait()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	record.Logf("%d served, %d answers to requests that had to obey a purge, %d of them from an older copy", served,
-		w.checked, w.broken)
+	var sum rig2.SlowResult
+	for _, result := range results {
+		sum.Answered += result.Answered
+		sum.Lost += result.Lost
+		sum.Crossed += result.Crossed
+	}
+	record.Logf("%d answered, %d lost; %d crossed a close within 50 ms, which does not count", sum.Answered, sum.Lost,
+		sum.Crossed)
 	switch {
-	case w.broken > 0:
+	case sum.Lost > 0:
 		return rig2.Broken, nil
-	case w.checked == 0 || served == 0:
+	case sum.Answered == 0:
 		return rig2.NotRun, nil
 	}
 	return rig2.Held, nil
 }
 
-// cycle lets the feed be well, stops it, and purges the object at the beginning of the stop.
-func (w *world) cycle(feed *rig2.Feed) {
-	w.begin()
-	time.Sleep(settled)
-	feed.WaitBeat()
-	time.Sleep(phase)
-	start := time.Now()
-	bindsAt := start.Add(told + heed)
-	if rig2.Trouble() {
-		feed.Silence(true)
-	} else {
-		bindsAt = start.Add(tellAfter + heed)
-	}
-	object := w.purge(start, bindsAt)
-	time.Sleep(tellAfter)
-	feed.PurgeAt(object, start)
-	time.Sleep(time.Until(start.Add(stopped)))
-	if rig2.Trouble() {
-		feed.Silence(false)
+// drain makes the operators' call.
+func drain(record *rig2.Record, operator string) error {
+	call, err := http.NewRequest(http.MethodPut, "http://"+operator+"/healthcheck/fail", nil)
+	if err != nil {
+		return err
 	}
-	time.Sleep(time.Until(start.Add(rest)))
-}
-
-// ask asks for the object of the cycle, again and again.
-func (w *world) ask(address string, over chan struct{}) (served int) {
-	client, err := rig2.Dial(address)
-	for err == nil {
-		select {
-		case <-over:
-			return served
-		case <-time.After(30 * time.Millisecond):
-		}
-		w.mu.Lock()
-		object := w.object
-		w.mu.Unlock()
-		answer := rig2.Wait(client.Submit(rig2.Request("media", object, allow), nil), allow+time.Second)
-		if answer.Kind == rig2.Served && bytes.HasPrefix(answer.Body, []byte(object)) {
-			served++
-		}
-		if client.Ended() {
-			client, err = rig2.Dial(address)
-		}
+	response, err := http.DefaultClient.Do(call)
+	if err != nil {
+		return err
 	}
-	return served
+	record.Logf("PUT /healthcheck/fail: %s", response.Status)
+	return response.Body.Close()
 }
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,112 +1,194 @@
-// Command 7 plays case 7 of the second review: hundreds of clients that never finish a request, beside clients that
-// read slowly.
+// Command 7 plays case 7 of the second review: the control feed stops while it stays open, and tells what it held
+// back when it goes on.
 package main
 
 import (
+	"bytes"
 	"fmt"
-	"math/rand/v2"
-	"net"
+	"strconv"
+	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"shaleyard/review/rig2"
 )
 
 const (
-	slowClients = 4
-	size        = 200_000   // bytes of an object; 240,000 at most
-	pace        = 1_000_000 // bytes a second that a slow client reads
-	crowd       = 200       // clients at once that never finish a request
-	crowdPause  = 500 * time.Millisecond
-	duration    = 15 * time.Second
-	allow       = 5 * time.Second
-	sockets     = 256
+	cycles    = 8
+	settled   = 5 * time.Second        // the feed is well for so long before each stop
+	phase     = 950 * time.Millisecond // from the feed's last line to the stop
+	stopped   = 4 * time.Second
+	rest      = 6500 * time.Millisecond // from the stop to the end of a cycle
+	tellAfter = 200 * time.Millisecond  // a purge is in the feed so long after it happened (99 to 320 ms)
+	dropAfter = 5900 * time.Millisecond // an older copy is dropped so long after the purge (6 s at most)
+	// told is when the purge counts as told at the latest: 4 s after the stop; heed is the time to obey it, with 50 ms.
+	told  = 4 * time.Second
+	heed  = 550 * time.Millisecond
+	slack = 20 * time.Millisecond // for the stand-ins' own delays
+	size  = 2_000
+	allow = 3 * time.Second
 )
 
 func main() { rig2.Main(play) }
 
-func play(record *rig2.Record) (int, error) {
-	handle := func(cache string, call *rig2.Call) {
-		if call.Word == "REQ" {
-			record.Logf("%s: ran %s", cache, call.ID)
-			time.Sleep(20 * time.Millisecond)
-			call.Conn.Raw(rig2.Good(call.ID, call.Fields["asset"], size))
-		}
+// world is what the caches hold of the one object of a cycle.
+type world struct {
+	mu       sync.Mutex
+	record   *rig2.Record
+	object   string
+	copies   map[string]time.Time // since, by cache
+	purgedAt time.Time            // zero: not purged
+	bindsAt  time.Time            // requests sent later may not be answered from an older copy
+	broken   int
+	checked  int // answers after bindsAt
+}
+
+// begin begins a cycle with a new object, of which no cache has a copy.
+func (w *world) begin() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.object = rig2.Ref()
+	w.copies = map[string]time.Time{}
+	w.purgedAt, w.bindsAt = time.Time{}, time.Time{}
+}
+
+// held reports whether the rule has held until now.
+func (w *world) held() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.broken == 0
+}
+
+func (w *world) purge(at, bindsAt time.Time) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.purgedAt, w.bindsAt = at, bindsAt
+	return w.object
+}
+
+// handle is what a cache does: it answers from its copy if that is young enough, else it fills from the origin.
+func (w *world) handle(cache string, call *rig2.Call) {
+	if call.Word != "REQ" {
+		return
+	}
+	now := time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if call.Fields["asset"] != w.object {
+		call.Conn.Answer(call.ID, "ERR", "-", nil)
+		return
+	}
+	since, held := w.copies[cache]
+	older := held && !w.purgedAt.IsZero() && since.Before(w.purgedAt)
+	if older && now.Sub(w.purgedAt) > dropAfter {
+		held = false
 	}
-	fleet, err := rig2.StartFleet(record, 3, handle, func(config *rig2.Config) { config.Sockets = sockets })
+	limit, _ := strconv.Atoi(call.Fields["cap"])
+	if held && (limit == 0 || now.Sub(since) <= time.Duration(limit)*time.Millisecond) {
+		w.answer(cache, call, since, now, "HIT")
+		return
+	}
+	if call.Fields["up"] == "" || strings.Contains(call.Fields["do"], "peek") {
+		call.Conn.Answer(call.ID, "MISS", "n=UP_MISS", nil)
+		return
+	}
+	w.copies[cache] = now
+	w.answer(cache, call, now, now, "MISS_ORIGIN")
+}
+
+func (w *world) answer(cache string, call *rig2.Call, since, now time.Time, note string) {
+	version := "new"
+	if !w.purgedAt.IsZero() && since.Before(w.purgedAt) {
+		version = "old"
+	}
+	bound := !w.bindsAt.IsZero() && now.After(w.bindsAt.Add(slack))
+	if bound {
+		w.checked++
+	}
+	w.record.Logf("%s: %s, cap %q, up %q: %s, %s copy", cache, call.ID, call.Fields["cap"], call.Fields["up"], note,
+		version)
+	if bound && version == "old" {
+		w.broken++
+		w.record.Logf("BROKEN: %s was sent %v after the purge had to be obeyed, and is answered from a copy %v older "+
+			"than the purge", call.ID, now.Sub(w.bindsAt), w.purgedAt.Sub(since))
+	}
+	fields := fmt.Sprintf("n=%s,rev=r%d,since=%d", note, since.UnixMilli(), since.UnixMilli())
+	call.Conn.Answer(call.ID, "OK", fields, rig2.Body(call.Fields["asset"], size))
+}
+
+func play(record *rig2.Record) (int, error) {
+	w := &world{record: record}
+	w.begin()
+	change := func(config *rig2.Config) { config.Settings = rig2.Settings(3) }
+	fleet, err := rig2.StartFleet(record, 3, w.handle, change)
 	defer fleet.Stop()
 	if err != nil {
 		return rig2.NotRun, err
 	}
-	address := fleet.Director.Config.Listen
-	end := time.Now().Add(duration)
-	var connected atomic.Int64
-	if rig2.Trouble() {
-		for range crowd {
-			go neverFinish(address, end, &connected)
-		}
-	}
+	over := make(chan struct{})
 	var group sync.WaitGroup
-	results := make([]rig2.SlowResult, slowClients)
-	for i := range slowClients {
-		group.Go(func() { results[i] = readSlowly(record, fmt.Sprint("client ", i), address, end) })
+	served := 0
+	group.Go(func() { served = w.ask(fleet.Director.Config.Listen, over) })
+	for i := 0; i < cycles && w.held(); i++ {
+		w.cycle(fleet.Feed)
 	}
+	close(over)
 	group.Wait()
-	var sum rig2.SlowResult
-	for _, result := range results {
-		sum.Answered += result.Answered
-		sum.Lost += result.Lost
-		sum.Crossed += result.Crossed
-		sum.First += result.First
-	}
-	record.Logf("%d answered, %d lost; %d crossed a close within 50 ms and %d were the first of a connection, which "+
-		"does not count; %d clients never finished a request", sum.Answered, sum.Lost, sum.Crossed, sum.First,
-		connected.Load())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	record.Logf("%d served, %d answers to requests that had to obey a purge, %d of them from an older copy", served,
+		w.checked, w.broken)
 	switch {
-	case sum.Lost > 0:
+	case w.broken > 0:
 		return rig2.Broken, nil
-	case sum.Answered == 0:
+	case w.checked == 0 || served == 0:
 		return rig2.NotRun, nil
 	}
 	return rig2.Held, nil
 }
 
-// readSlowly plays one slow client, which connects again when the director has closed its connection.
-func readSlowly(record *rig2.Record, name, address string, end time.Time) (sum rig2.SlowResult) {
-	client := &rig2.SlowClient{
-		Record: record, Name: name, Rate: pace, SendAfter: 0.6, Allow: allow,
-		Until:  func() bool { return time.Now().Before(end) },
-		Fields: func() map[string]string { return rig2.Request("media", rig2.Ref(), allow) },
+// cycle lets the feed be well, stops it, and purges the object at the beginning of the stop.
+func (w *world) cycle(feed *rig2.Feed) {
+	w.begin()
+	time.Sleep(settled)
+	feed.WaitBeat()
+	time.Sleep(phase)
+	start := time.Now()
+	bindsAt := start.Add(told + heed)
+	if rig2.Trouble() {
+		feed.Silence(true)
+	} else {
+		bindsAt = start.Add(tellAfter + heed)
 	}
-	for time.Now().Before(end) {
-		result, err := client.Run(address)
-		if err != nil {
-			record.Logf("%s: %v", name, err)
-		}
-		sum.Answered += result.Answered
-		sum.Lost += result.Lost
-		sum.Crossed += result.Crossed
-		sum.First += result.First
-		time.Sleep(100 * time.Millisecond)
+	object := w.purge(start, bindsAt)
+	time.Sleep(tellAfter)
+	feed.PurgeAt(object, start)
+	time.Sleep(time.Until(start.Add(stopped)))
+	if rig2.Trouble() {
+		feed.Silence(false)
 	}
-	return sum
+	time.Sleep(time.Until(start.Add(rest)))
 }
 
-// neverFinish plays one client of the crowd: it connects, sends the beginning of a request, and waits until the
-// director closes the connection or 3 s have passed.
-func neverFinish(address string, end time.Time, connected *atomic.Int64) {
-	time.Sleep(time.Duration(rand.Int64N(int64(crowdPause))))
-	for time.Now().Before(end) {
-		conn, err := net.DialTimeout("tcp", address, time.Second)
-		if err == nil {
-			connected.Add(1)
-			whole := rig2.Frame(1, rig2.Request("media", rig2.Ref(), allow), nil)
-			_, _ = conn.Write(whole[:len(whole)/2])
-			_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
-			_, _ = conn.Read(make([]byte, 1))
-			_ = conn.Close()
+// ask asks for the object of the cycle, again and again.
+func (w *world) ask(address string, over chan struct{}) (served int) {
+	client, err := rig2.Dial(address)
+	for err == nil {
+		select {
+		case <-over:
+			return served
+		case <-time.After(30 * time.Millisecond):
+		}
+		w.mu.Lock()
+		object := w.object
+		w.mu.Unlock()
+		answer := rig2.Wait(client.Submit(rig2.Request("media", object, allow), nil), allow+time.Second)
+		if answer.Kind == rig2.Served && bytes.HasPrefix(answer.Body, []byte(object)) {
+			served++
+		}
+		if client.Ended() {
+			client, err = rig2.Dial(address)
 		}
-		time.Sleep(crowdPause)
 	}
+	return served
 }
--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,36 +1,31 @@
-// Command 9 plays case 9 of the second review: a new version is started beside the running process, while clients read
-// slowly and go on using their connections.
+// Command 9 plays case 9 of the second review: hundreds of clients that never finish a request, beside clients that
+// read slowly.
 package main
 
 import (
-	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
-	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"shaleyard/review/rig2"
 )
 
 const (
-	slowClients  = 12
-	size         = 60_000 // bytes of an object
-	pace         = 64_000 // bytes a second that a slow client reads
-	upgradeAfter = 3 * time.Second
-	readyWithin  = 6 * time.Second
-	sendFor      = 500 * time.Millisecond  // after SIGTERM
-	killAfter    = 3700 * time.Millisecond // after SIGTERM
-	allow        = 5 * time.Second
+	slowClients = 4
+	size        = 200_000   // bytes of an object; 240,000 at most
+	pace        = 1_000_000 // bytes a second that a slow client reads
+	crowd       = 200       // clients at once that never finish a request
+	crowdPause  = 500 * time.Millisecond
+	duration    = 15 * time.Second
+	allow       = 5 * time.Second
+	sockets     = 256
 )
 
 func main() { rig2.Main(play) }
 
-var errNotReady = errors.New("the new process was not ready within 6 s")
-
 func play(record *rig2.Record) (int, error) {
 	handle := func(cache string, call *rig2.Call) {
 		if call.Word == "REQ" {
@@ -39,115 +34,79 @@
 			call.Conn.Raw(rig2.Good(call.ID, call.Fields["asset"], size))
 		}
 	}
-	listening, err := listen()
-	if err != nil {
-		return rig2.NotRun, err
-	}
-	fleet, err := rig2.StartFleet(record, 3, handle, func(config *rig2.Config) {
-		config.Listen, config.Listening = listening.address, listening.file
-	})
+	fleet, err := rig2.StartFleet(record, 3, handle, func(config *rig2.Config) { config.Sockets = sockets })
 	defer fleet.Stop()
 	if err != nil {
 		return rig2.NotRun, err
 	}
-	var end atomic.Int64
-	end.Store(time.Now().Add(upgradeAfter + 5*time.Second).UnixNano())
+	address := fleet.Director.Config.Listen
+	end := time.Now().Add(duration)
+	var connected atomic.Int64
+	if rig2.Trouble() {
+		for range crowd {
+			go neverFinish(address, end, &connected)
+		}
+	}
 	var group sync.WaitGroup
 	results := make([]rig2.SlowResult, slowClients)
 	for i := range slowClients {
-		group.Go(func() {
-			time.Sleep(time.Duration(i) * 80 * time.Millisecond)
-			client := &rig2.SlowClient{
-				Record: record, Name: fmt.Sprint("client ", i), Rate: pace, SendAfter: 0.8, Allow: allow,
-				Until:  func() bool { return time.Now().UnixNano() < end.Load() },
-				Fields: func() map[string]string { return rig2.Request("media", rig2.Ref(), allow) },
-			}
-			results[i], _ = client.Run(listening.address)
-		})
-	}
-	time.Sleep(upgradeAfter)
-	if rig2.Trouble() {
-		next, err := upgrade(record, fleet.Director, &end)
-		if err != nil {
-			return rig2.NotRun, err
-		}
-		defer next.Kill()
+		group.Go(func() { results[i] = readSlowly(record, fmt.Sprint("client ", i), address, end) })
 	}
 	group.Wait()
-	return judge(record, results), nil
-}
-
-func judge(record *rig2.Record, results []rig2.SlowResult) int {
 	var sum rig2.SlowResult
 	for _, result := range results {
 		sum.Answered += result.Answered
 		sum.Lost += result.Lost
 		sum.Crossed += result.Crossed
+		sum.First += result.First
 	}
-	record.Logf("%d answered, %d lost; %d crossed a close within 50 ms, which does not count", sum.Answered, sum.Lost,
-		sum.Crossed)
+	record.Logf("%d answered, %d lost; %d crossed a close within 50 ms and %d were the first of a connection, which "+
+		"does not count; %d clients never finished a request", sum.Answered, sum.Lost, sum.Crossed, sum.First,
+		connected.Load())
 	switch {
 	case sum.Lost > 0:
-		return rig2.Broken
+		return rig2.Broken, nil
 	case sum.Answered == 0:
-		return rig2.NotRun
+		return rig2.NotRun, nil
 	}
-	return rig2.Held
-}
-
-// socket is the clients' listening socket, which the platform holds.
-type socket struct {
-	address string
-	file    *os.File
+	return rig2.Held, nil
 }
 
-func listen() (socket, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return socket{}, err
+// readSlowly plays one slow client, which connects again when the director has closed its connection.
+func readSlowly(record *rig2.Record, name, address string, end time.Time) (sum rig2.SlowResult) {
+	client := &rig2.SlowClient{
+		Record: record, Name: name, Rate: pace, SendAfter: 0.6, Allow: allow,
+		Until:  func() bool { return time.Now().Before(end) },
+		Fields: func() map[string]string { return rig2.Request("media", rig2.Ref(), allow) },
 	}
-	file, err := listener.(*net.TCPListener).File()
-	if err != nil {
-		return socket{}, err
-	}
-	return socket{address: listener.Addr().String(), file: file}, listener.Close()
-}
-
-// upgrade starts a second process beside the first, waits until it says yes, and stops the first.
-func upgrade(record *rig2.Record, old *rig2.Director, end *atomic.Int64) (*rig2.Director, error) {
-	config := old.Config
-	operator, err := rig2.FreeAddress()
-	if err != nil {
-		return nil, err
-	}
-	config.Operator = operator
-	next, err := rig2.Start(config)
-	if err != nil {
-		return nil, err
-	}
-	for started := time.Now(); !ready(operator); time.Sleep(50 * time.Millisecond) {
-		if time.Since(started) > readyWithin {
-			next.Kill()
-			return nil, errNotReady
+	for time.Now().Before(end) {
+		result, err := client.Run(address)
+		if err != nil {
+			record.Logf("%s: %v", name, err)
 		}
+		sum.Answered += result.Answered
+		sum.Lost += result.Lost
+		sum.Crossed += result.Crossed
+		sum.First += result.First
+		time.Sleep(100 * time.Millisecond)
 	}
-	record.Logf("the new process is ready; SIGTERM goes to the old one")
-	end.Store(time.Now().Add(sendFor).UnixNano())
-	old.Signal(syscall.SIGTERM)
-	go func() {
-		if !old.WaitExit(killAfter) {
-			record.Logf("SIGKILL goes to the old process")
-			old.Signal(syscall.SIGKILL)
-		}
-	}()
-	return next, nil
+	return sum
 }
 
-func ready(operator string) bool {
-	response, err := http.Get("http://" + operator + "/healthcheck")
-	if err != nil {
-		return false
+// neverFinish plays one client of the crowd: it connects, sends the beginning of a request, and waits until the
+// director closes the connection or 3 s have passed.
+func neverFinish(address string, end time.Time, connected *atomic.Int64) {
+	time.Sleep(time.Duration(rand.Int64N(int64(crowdPause))))
+	for time.Now().Before(end) {
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err == nil {
+			connected.Add(1)
+			whole := rig2.Frame(1, rig2.Request("media", rig2.Ref(), allow), nil)
+			_, _ = conn.Write(whole[:len(whole)/2])
+			_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+			_, _ = conn.Read(make([]byte, 1))
+			_ = conn.Close()
+		}
+		time.Sleep(crowdPause)
 	}
-	defer response.Body.Close()
-	return response.StatusCode == http.StatusOK
 }
