--- a/review/7/main.go
+++ b/review/7/main.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 )
 
 const (
+	directors = 3
 	cycles    = 8
 	settled   = 5 * time.Second        // the feed is well for so long before each stop
 	phase     = 950 * time.Millisecond // from the feed's last line to the stop
@@ -31,23 +33,26 @@
 
 func main() { rig2.Main(play) }
 
-// world is what the caches hold of the one object of a cycle.
+// world is what the caches hold of the objects of a cycle. The clients of each director ask for an object of their own,
+// so that no director renews the copy that another one is answered from.
 type world struct {
 	mu       sync.Mutex
 	record   *rig2.Record
-	object   string
-	copies   map[string]time.Time // since, by cache
+	objects  [directors]string
+	copies   map[string]time.Time // since, by cache and object
 	purgedAt time.Time            // zero: not purged
 	bindsAt  time.Time            // requests sent later may not be answered from an older copy
 	broken   int
 	checked  int // answers after bindsAt
 }
 
-// begin begins a cycle with a new object, of which no cache has a copy.
+// begin begins a cycle with new objects, of which no cache has a copy.
 func (w *world) begin() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.object = rig2.Ref()
+	for i := range w.objects {
+		w.objects[i] = rig2.Ref()
+	}
 	w.copies = map[string]time.Time{}
 	w.purgedAt, w.bindsAt = time.Time{}, time.Time{}
 }
@@ -59,11 +64,11 @@
 	return w.broken == 0
 }
 
-func (w *world) purge(at, bindsAt time.Time) string {
+func (w *world) purge(at, bindsAt time.Time) [directors]string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.purgedAt, w.bindsAt = at, bindsAt
-	return w.object
+	return w.objects
 }
 
 // handle is what a cache does: it answers from its copy if that is young enough, else it fills from the origin.
@@ -74,11 +79,12 @@
 	now := time.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if call.Fields["asset"] != w.object {
+	object := call.Fields["asset"]
+	if !slices.Contains(w.objects[:], object) {
 		call.Conn.Answer(call.ID, "ERR", "-", nil)
 		return
 	}
-	since, held := w.copies[cache]
+	since, held := w.copies[cache+object]
 	older := held && !w.purgedAt.IsZero() && since.Before(w.purgedAt)
 	if older && now.Sub(w.purgedAt) > dropAfter {
 		held = false
@@ -92,7 +98,7 @@
 		call.Conn.Answer(call.ID, "MISS", "n=UP_MISS", nil)
 		return
 	}
-	w.copies[cache] = now
+	w.copies[cache+object] = now
 	w.answer(cache, call, now, now, "MISS_ORIGIN")
 }
 
@@ -119,35 +125,73 @@
 func play(record *rig2.Record) (int, error) {
 	w := &world{record: record}
 	w.begin()
-	change := func(config *rig2.Config) { config.Settings = rig2.Settings(3) }
+	change := func(config *rig2.Config) { config.Settings = rig2.Settings(directors) }
 	fleet, err := rig2.StartFleet(record, 3, w.handle, change)
 	defer fleet.Stop()
 	if err != nil {
 		return rig2.NotRun, err
 	}
+	addresses := []string{fleet.Director.Config.Listen}
+	for i := 1; i < directors; i++ {
+		other, err := startOther(record, fleet, i)
+		if err != nil {
+			return rig2.NotRun, err
+		}
+		defer other.Kill()
+		addresses = append(addresses, other.Config.Listen)
+	}
 	over := make(chan struct{})
 	var group sync.WaitGroup
-	served := 0
-	group.Go(func() { served = w.ask(fleet.Director.Config.Listen, over) })
+	var answered [directors]int
+	for i, address := range addresses {
+		group.Go(func() { answered[i] = w.ask(i, address, over) })
+	}
 	for i := 0; i < cycles && w.held(); i++ {
 		w.cycle(fleet.Feed)
 	}
 	close(over)
 	group.Wait()
+	return w.result(answered), nil
+}
+
+// startOther starts another director of the deployment.
+func startOther(record *rig2.Record, fleet *rig2.Fleet, number int) (*rig2.Director, error) {
+	config := fleet.Director.Config
+	config.Name = fmt.Sprint("n", number+1)
+	config.Settings = rig2.Settings(directors)
+	config.Settings["me"] = number
+	config.Operator = ""
+	var err error
+	if config.Listen, err = rig2.FreeAddress(); err != nil {
+		return nil, err
+	}
+	director, err := rig2.Start(config)
+	if err != nil {
+		return nil, err
+	}
+	record.Logf("director %s started, listens at %s", config.Name, config.Listen)
+	return director, director.WaitReady()
+}
+
+func (w *world) result(answered [directors]int) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	record.Logf("%d served, %d answers to requests that had to obey a purge, %d of them from an older copy", served,
+	served := 0
+	for _, count := range answered {
+		served += count
+	}
+	w.record.Logf("%d served, %d answers to requests that had to obey a purge, %d of them from an older copy", served,
 		w.checked, w.broken)
 	switch {
 	case w.broken > 0:
-		return rig2.Broken, nil
+		return rig2.Broken
 	case w.checked == 0 || served == 0:
-		return rig2.NotRun, nil
+		return rig2.NotRun
 	}
-	return rig2.Held, nil
+	return rig2.Held
 }
 
-// cycle lets the feed be well, stops it, and purges the object at the beginning of the stop.
+// cycle lets the feed be well, stops it, and purges the objects at the beginning of the stop.
 func (w *world) cycle(feed *rig2.Feed) {
 	w.begin()
 	time.Sleep(settled)
@@ -160,9 +204,11 @@
 	} else {
 		bindsAt = start.Add(tellAfter + heed)
 	}
-	object := w.purge(start, bindsAt)
+	objects := w.purge(start, bindsAt)
 	time.Sleep(tellAfter)
-	feed.PurgeAt(object, start)
+	for _, object := range objects {
+		feed.PurgeAt(object, start)
+	}
 	time.Sleep(time.Until(start.Add(stopped)))
 	if rig2.Trouble() {
 		feed.Silence(false)
@@ -170,8 +216,8 @@
 	time.Sleep(time.Until(start.Add(rest)))
 }
 
-// ask asks for the object of the cycle, again and again.
-func (w *world) ask(address string, over chan struct{}) (served int) {
+// ask asks a director for its object of the cycle, again and again.
+func (w *world) ask(number int, address string, over chan struct{}) (served int) {
 	client, err := rig2.Dial(address)
 	for err == nil {
 		select {
@@ -180,7 +226,7 @@
 		case <-time.After(30 * time.Millisecond):
 		}
 		w.mu.Lock()
-		object := w.object
+		object := w.objects[number]
 		w.mu.Unlock()
 		answer := rig2.Wait(client.Submit(rig2.Request("media", object, allow), nil), allow+time.Second)
 		if answer.Kind == rig2.Served && bytes.HasPrefix(answer.Body, []byte(object)) {
