--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,8 +1,9 @@
-// Command 9 plays case 9 of the second review: hundreds of clients that never finish a request, beside clients that
-// read slowly.
+// Command 9 plays case 9 of the second review: messages with no end beside usual clients whose writes arrive in
+// several segments.
 package main
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -14,27 +15,38 @@
 )
 
 const (
-	slowClients = 4
-	size        = 200_000   // bytes of an object; 240,000 at most
-	pace        = 1_000_000 // bytes a second that a slow client reads
-	crowd       = 200       // clients at once that never finish a request
-	crowdPause  = 500 * time.Millisecond
-	duration    = 15 * time.Second
-	allow       = 5 * time.Second
-	sockets     = 256
+	usualClients = 8
+	endless      = 300 // clients at once whose message has no end
+	announced    = 96 << 10
+	written      = 70_000
+	bodySize     = 40_000 // bytes of a repayment; 48,000 at most
+	pieces       = 20     // segments in which it arrives
+	piecePause   = time.Millisecond
+	fillTime     = 1500 * time.Millisecond // until a cache answers a read
+	objectSize   = 2_000
+	duration     = 15 * time.Second
+	allow        = 3 * time.Second
+	crossing     = 50 * time.Millisecond
+	memoryMB     = 64
+	pause        = 300 * time.Millisecond // before a client of that kind connects again
 )
 
 func main() { rig2.Main(play) }
 
+type tally struct{ answered, lost, excused atomic.Int64 }
+
 func play(record *rig2.Record) (int, error) {
 	handle := func(cache string, call *rig2.Call) {
-		if call.Word == "REQ" {
-			record.Logf("%s: ran %s", cache, call.ID)
-			time.Sleep(20 * time.Millisecond)
-			call.Conn.Raw(rig2.Good(call.ID, call.Fields["asset"], size))
+		if call.Word != "REQ" {
+			return
+		}
+		record.Logf("%s: %s of class %s", cache, call.ID, call.Fields["sort"])
+		if call.Fields["sort"] == "media" {
+			time.Sleep(fillTime)
 		}
+		call.Conn.Raw(rig2.Good(call.ID, call.Fields["asset"], objectSize))
 	}
-	fleet, err := rig2.StartFleet(record, 3, handle, func(config *rig2.Config) { config.Sockets = sockets })
+	fleet, err := rig2.StartFleet(record, 3, handle, func(config *rig2.Config) { config.MemoryMB = memoryMB })
 	defer fleet.Stop()
 	if err != nil {
 		return rig2.NotRun, err
@@ -43,70 +55,80 @@
 	end := time.Now().Add(duration)
 	var connected atomic.Int64
 	if rig2.Trouble() {
-		for range crowd {
-			go neverFinish(address, end, &connected)
+		for range endless {
+			go neverEnd(address, end, &connected)
 		}
 	}
 	var group sync.WaitGroup
-	results := make([]rig2.SlowResult, slowClients)
-	for i := range slowClients {
-		group.Go(func() { results[i] = readSlowly(record, fmt.Sprint("client ", i), address, end) })
+	var sum tally
+	for i := range usualClients {
+		group.Go(func() {
+			time.Sleep(time.Duration(i) * fillTime / usualClients)
+			for time.Now().Before(end) {
+				use(record, fmt.Sprint("client ", i), address, &sum)
+			}
+		})
 	}
 	group.Wait()
-	var sum rig2.SlowResult
-	for _, result := range results {
-		sum.Answered += result.Answered
-		sum.Lost += result.Lost
-		sum.Crossed += result.Crossed
-		sum.First += result.First
-	}
-	record.Logf("%d answered, %d lost; %d crossed a close within 50 ms and %d were the first of a connection, which "+
-		"does not count; %d clients never finished a request", sum.Answered, sum.Lost, sum.Crossed, sum.First,
-		connected.Load())
+	record.Logf("%d repayments answered, %d lost; %d crossed a close within 50 ms, which does not count; %d messages "+
+		"had no end", sum.answered.Load(), sum.lost.Load(), sum.excused.Load(), connected.Load())
 	switch {
-	case sum.Lost > 0:
+	case sum.lost.Load() > 0:
 		return rig2.Broken, nil
-	case sum.Answered == 0:
+	case sum.answered.Load() == 0:
 		return rig2.NotRun, nil
 	}
 	return rig2.Held, nil
 }
 
-// readSlowly plays one slow client, which connects again when the director has closed its connection.
-func readSlowly(record *rig2.Record, name, address string, end time.Time) (sum rig2.SlowResult) {
-	client := &rig2.SlowClient{
-		Record: record, Name: name, Rate: pace, SendAfter: 0.6, Allow: allow,
-		Until:  func() bool { return time.Now().Before(end) },
-		Fields: func() map[string]string { return rig2.Request("media", rig2.Ref(), allow) },
+// use plays one connection of a usual client: a read, and a repayment while the read is open.
+func use(record *rig2.Record, name, address string, sum *tally) {
+	client, err := rig2.Dial(address)
+	if err != nil {
+		time.Sleep(20 * time.Millisecond)
+		return
 	}
-	for time.Now().Before(end) {
-		result, err := client.Run(address)
-		if err != nil {
-			record.Logf("%s: %v", name, err)
-		}
-		sum.Answered += result.Answered
-		sum.Lost += result.Lost
-		sum.Crossed += result.Crossed
-		sum.First += result.First
-		time.Sleep(100 * time.Millisecond)
+	defer func() { _ = client.Close() }()
+	read := client.Submit(rig2.Request("media", rig2.Ref(), 2*allow), nil)
+	time.Sleep(50 * time.Millisecond)
+	seq, paid := client.Open()
+	fields := rig2.Request("repayment", rig2.Ref(), allow)
+	if client.SendPieces(rig2.Frame(seq, fields, make([]byte, bodySize)), pieces, piecePause) != nil {
+		return // not written, so that the director has not taken it
+	}
+	sentAt := time.Now()
+	record.Logf("%s: wrote repayment %s whole", name, fields["ref"])
+	answer := rig2.Wait(paid, allow+time.Second)
+	record.Logf("%s: %s for repayment %s, connection ended: %v", name, answer.Kind, fields["ref"], client.Ended())
+	switch {
+	case answer.Kind != rig2.NoAnswer:
+		sum.answered.Add(1)
+	case !client.Ended():
+		record.Logf("%s: no answer, and the connection is open", name)
+	case answer.At.Sub(sentAt) <= crossing:
+		sum.excused.Add(1)
+	default:
+		sum.lost.Add(1)
+		record.Logf("%s: LOST %s, request 2 of its connection: the connection ended %v after its last byte", name,
+			fields["ref"], answer.At.Sub(sentAt))
 	}
-	return sum
+	rig2.Wait(read, allow)
 }
 
-// neverFinish plays one client of the crowd: it connects, sends the beginning of a request, and waits until the
-// director closes the connection or 3 s have passed.
-func neverFinish(address string, end time.Time, connected *atomic.Int64) {
-	time.Sleep(time.Duration(rand.Int64N(int64(crowdPause))))
+// neverEnd plays one bad client: it announces a message, sends most of it, and waits until the director closes the
+// connection or 3 s have passed.
+func neverEnd(address string, end time.Time, connected *atomic.Int64) {
+	time.Sleep(time.Duration(rand.IntN(500)) * time.Millisecond)
 	for time.Now().Before(end) {
 		conn, err := net.DialTimeout("tcp", address, time.Second)
 		if err == nil {
 			connected.Add(1)
-			whole := rig2.Frame(1, rig2.Request("media", rig2.Ref(), allow), nil)
-			_, _ = conn.Write(whole[:len(whole)/2])
+			_, _ = conn.Write(binary.BigEndian.AppendUint32(nil, announced))
+			_, _ = conn.Write(make([]byte, written))
 			_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
 			_, _ = conn.Read(make([]byte, 1))
 			_ = conn.Close()
 		}
-		time.Sleep(crowdPause)
+		time.Sleep(pause)
 	}
 }
