--- a/review/6/main.go
+++ b/review/6/main.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"fmt"
 	"sync"
 	"time"
 
@@ -49,7 +48,7 @@
 		if call.Word != "REQ" {
 			return
 		}
-		record.Logf("%s: ran %s of class %s with a body of %d bytes", cache, call.ID, call.Fields["sort"], len(call.Body))
+		record.Logf("%s: ran %s of class %s, a body of %d bytes", cache, call.ID, call.Fields["sort"], len(call.Body))
 		seen.add(call.ID, call.Body)
 		call.Conn.Raw(rig2.Good(call.ID, call.Fields["asset"], size))
 	}
@@ -137,8 +136,7 @@
 		broken++
 	}
 	if body, found := seen.get(sent.id); found && !bytes.Equal(body, sent.body) {
-		record.Logf("BROKEN: a server ran %s with %s, sent were %d bytes", sent.id, fmt.Sprintf("%d bytes", len(body)),
-			len(sent.body))
+		record.Logf("BROKEN: a server ran %s with a body of %d bytes, sent were %d", sent.id, len(body), len(sent.body))
 		broken++
 	}
 	return broken
