Keep silent calls to the discovery service until another one has caught up

Cause: a call that brought no line for 1.3 s was closed, and the next one came 0.75 to 1.5 s later, then up to 3 s. The service went on meanwhile and told the purge to whoever was connected. The director was not, by its own closing and waiting. The same held for dials given up after the connect timeout, for a list that stalls, and for a replica that catches up late.

Change: such a call is overdue and stays in progress while further calls are made beside it, at the same pace as before (internal/discovery/calls.go). All calls in progress are equal: each knows the revision of its own last event, an event is applied when the first of them brings it, and a heartbeat with the last applied revision makes a call the only one. There are three at most (MaxWatchCalls); the one that worked before the outage goes last. Incomplete lines of all of them together are bounded like one. A dial can be cancelled. A call costs a token of the budget when it is made, not when it is scheduled, as a scheduled call may now prove needless. If overdue watches are closed by the service, it is called as soon as after a break.

Redirects, pauses and the count of lagging watches before a full resync are as they were.

Tests: TestPurgeAfterStopIsObeyedOnAnyWatch (the program on sockets) failed on for both watches, and passes. TestSilentWatchIsReplaced and TestStallWithinListIsATimeout asked that a silent watch be closed, which was the fault: they ask now that it stays open until the other one has caught up, and then is closed. TestOldWatchEndsDuringRedirectDial has a dial of 0.9 s in place of 2 s, as a dial that takes longer than the connect timeout has a second one beside it. TestOlderListDoesNotUndoADrain asks for an overdue watch in place of a closed one. The budget's tests record each call.

--- a/cmd/shaleyard/harness_test.go
+++ b/cmd/shaleyard/harness_test.go
@@ -115,6 +115,24 @@
 // dial connects a client to the program in the test's process.
 func (h *harness) dial() *nettest.Conn { return nettest.Dial(h.t, h.program.eventLoop.Address()) }
 
+// waitUntil waits until a condition, which is evaluated on the program's event loop, holds or the program has ended.
+// The test must check something that shows if the program has ended too soon.
+func (h *harness) waitUntil(condition func() bool) {
+	result := make(chan bool, 1)
+	for {
+		h.program.eventLoop.Do(func() { result <- condition() })
+		select {
+		case holds := <-result:
+			if holds {
+				return
+			}
+		case err := <-h.exited:
+			h.exited <- err
+			return
+		}
+	}
+}
+
 // requestFields returns the fields of a request with the given class and reference, as names and values in turn.
 func requestFields(class, ref string) []string {
 	return []string{"service", class, "ref", ref, "allow", "15000", "lookup", "7f3a9c21e0b4d655", "chunk", "3",
--- a/internal/config/derive.go
+++ b/internal/config/derive.go
@@ -11,9 +11,12 @@
 const (
 	// heartbeatInterval is the time between two heartbeats of the discovery service, as the protocol page specifies.
 	heartbeatInterval = time.Second
-	// reservedDescriptors is the number of descriptors reserved for the listener, pollers, the watch on the
+	// reservedDescriptors is the number of descriptors reserved for the listener, pollers, the first call to the
 	// discovery service, standard streams, and connections between their accept and their close.
 	reservedDescriptors = 20
+	// maxWatchCalls is the number of calls to the discovery service in progress at once: the last one that worked, and
+	// those of the next seconds of an outage.
+	maxWatchCalls = 3
 	// longestStopTimeout is the largest part of the longest request timeout that counts towards the time from SIGTERM
 	// to SIGKILL, as the protocol page specifies.
 	longestStopTimeout = 3 * time.Second
@@ -35,7 +38,7 @@
 		lingering:        min(12, total/32),
 		replacementDials: min(8, total/32),
 	}
-	reserve := reservedDescriptors + shares.lingering + shares.replacementDials
+	reserve := reservedDescriptors + maxWatchCalls - 1 + shares.lingering + shares.replacementDials
 	if withOperators {
 		shares.operators = max(2, min(8, total/32))
 		reserve += 1 + shares.operators // 1 for the operators' listener
@@ -145,6 +148,7 @@
 
 func (l *Limits) setDiscoveryDefaults() {
 	l.MaxWatchLineBytes = 4 << 20
+	l.MaxWatchCalls = maxWatchCalls
 	l.WatchSilenceTimeout = 1300 * time.Millisecond
 	l.MinWatchBackoff = 100 * time.Millisecond
 	l.WatchCallTime = 500 * time.Millisecond
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -80,6 +80,7 @@
 	// Discovery: the watch on the discovery service.
 
 	MaxWatchLineBytes   int           // length of one line
+	MaxWatchCalls       int           // calls to the service in progress at once: one in time, and others overdue
 	WatchSilenceTimeout time.Duration // time without a line after which the service is called again
 	MinWatchBackoff     time.Duration // shortest wait after a failed call
 	// WatchCallTime is the longest duration of a call to a healthy service: connect, subscribe, read the missed events.
--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -86,24 +86,32 @@
 
 // checkRevision reports whether the event must be applied. This is so if its revision is higher than the last applied
 // one, or if it is the first event after a request for all events, even if revision 1 has been applied before. For an
-// event of a watch (source is not nil), it returns an error if events between the last applied event and this one are
-// missing, or if the first event after a request for all events is not a snapshot with revision 1. Events of the
-// configuration (source is nil) may have gaps.
+// event of a watch (source is not nil), it returns an error if events between the last one of this watch and this one
+// are missing, or if the first event after a request for all events is not a snapshot with revision 1. Events of the
+// configuration (source is nil) may have gaps. An event that another watch has brought before is not applied again.
 func (w *Watcher) checkRevision(received *event, source *watch) (isNew bool, err error) {
 	revision := *received.Revision
-	if source != nil && source.fullResync {
+	if source == nil {
+		return revision > w.revision, nil
+	}
+	source.caughtUp = false
+	if source.fullResync {
 		if revision != 1 || received.Update == nil || !received.Update.Snapshot {
 			return false, errNotSnapshot
 		}
+		source.revision = revision
 		return true, nil
 	}
-	if revision <= w.revision {
+	if revision <= source.revision { // repeated
 		return false, nil
 	}
-	if source != nil && revision != w.revision+1 {
-		return false, &RevisionError{Got: revision, Last: w.revision}
+	if revision != source.revision+1 {
+		return false, &RevisionError{Got: revision, Last: source.revision}
 	}
-	return true, nil
+	source.revision = revision
+	source.revisionBehind = false
+	source.lagCounted = false
+	return revision > w.revision, nil
 }
 
 // applyEvent passes the endpoints and the purge of an event to the sink and advances the revision. If the endpoints are
@@ -117,6 +125,7 @@
 		}
 		if source != nil && source.fullResync {
 			w.resyncing = true
+			w.discardWhere(func(call *watch) bool { return call != source }) // they continue the former revisions
 		}
 		w.applyEndpoints(received.Update, endpoints)
 	}
@@ -130,7 +139,6 @@
 	}
 	if source != nil {
 		source.fullResync = false
-		source.revisionBehind = false
 		w.watchesBehind = 0
 	}
 	w.revision = *received.Revision
@@ -248,34 +256,40 @@
 }
 
 // heartbeat handles a line with only the service's latest revision. It ignores heartbeats in the configuration (source
-// is nil) and heartbeats before the first event of a full resync. A revision after the last applied one is an error,
-// because events are missing. The last applied revision itself ends a resync and resets watchesBehind. A revision
-// before the last applied one means that the service lags or was restored from a backup. A restored service will use
-// revisions again that were applied here already, and checkRevision ignores the events with these revisions although
-// they may differ from the applied ones. heartbeat therefore counts each watch on which the service's revision is
-// behind, once until the service catches up: in Counters.RevisionBehind, and in watchesBehind, the number of
-// consecutive watches of this kind. When watchesBehind has reached maxWatchesBehind, the next subscription requests
-// all events.
+// is nil) and heartbeats before the first event of a full resync. A revision after the last event of the watch is an
+// error, because events are missing. The last applied revision itself shows that the watch has caught up: it ends a
+// resync and resets watchesBehind. A revision before the last applied one means that another watch was faster, or that
+// the service lags or was restored from a backup; countLag handles the latter.
 func (w *Watcher) heartbeat(revision uint64, source *watch) error {
 	if source == nil || source.fullResync {
 		return nil
 	}
-	if revision > w.revision {
-		return &RevisionError{Got: revision, Last: w.revision}
+	if revision > source.revision {
+		return &RevisionError{Got: revision, Last: source.revision}
 	}
-	if revision == w.revision {
-		source.revisionBehind = false
+	source.caughtUp = revision == w.revision
+	source.revisionBehind = !source.caughtUp
+	if source.caughtUp {
+		source.lagCounted = false
 		w.watchesBehind = 0
 		w.resyncing = false
 		return nil
 	}
-	if source.revisionBehind {
-		return nil
+	if revision < source.revision && !source.lagCounted {
+		w.countLag(revision, source)
 	}
-	source.revisionBehind = true
+	return nil
+}
+
+// countLag counts a watch on which the service's revision is before the last event of the watch, once until the service
+// catches up: in Counters.RevisionBehind, and in watchesBehind, the number of consecutive watches of this kind. A
+// restored service will use revisions again that were applied here already, and checkRevision ignores the events with
+// these revisions although they may differ from the applied ones. When watchesBehind has reached maxWatchesBehind, the
+// next subscription therefore requests all events.
+func (w *Watcher) countLag(revision uint64, source *watch) {
+	source.lagCounted = true
 	w.watchesBehind++
 	w.Counters.RevisionBehind++
-	w.log.Warn("discovery service is behind", zap.String("address", w.address),
+	w.log.Warn("discovery service is behind", zap.String("address", source.address),
 		zap.Uint64("service_revision", revision), zap.Uint64("revision", w.revision))
-	return nil
 }
--- a/internal/discovery/backoff.go
+++ b/internal/discovery/backoff.go
@@ -58,8 +58,9 @@
 )
 
 // Backoff schedules the calls of one director to the discovery service: it is the reconnect backoff of a Watcher. The
-// caller makes a call at the time that FirstCall, NextCall or RedirectCall returns. It then reports each usable line
-// with RecordUsableLine and the end of the call or its watch with NextCall.
+// caller makes a call at the time that FirstCall, NextCall or RedirectCall returns, or earlier than that if an earlier
+// time was returned before, and reports it with RecordCall. It then reports each usable line with RecordUsableLine, and
+// with NextCall that the call or its watch has ended or is overdue. A scheduled call that is not made costs no token.
 //
 // Four bounds determine the waits (docs/cold-start.md has the calculations):
 //   - A director that loses a healthy watch continues to serve requests while purges are published, so it must
@@ -85,8 +86,8 @@
 	maxWaitWhileDown  time.Duration // longest wait while the service is down, and the time in which one token is added
 	maxWait           time.Duration // longest wait of all
 
-	tokens        float64      // tokens in the bucket at refilledAt; each call takes one
-	refilledAt    routing.Time // time for which tokens is valid: of the latest call, or of the next one if scheduled
+	tokens        float64      // tokens in the bucket at lastCall; each call takes one
+	lastCall      routing.Time // time of the latest call; before the first one, of FirstCall
 	failures      int          // consecutive calls or watches that ended, without a stable watch between them
 	unservedCalls int          // consecutive calls that were refused or timed out, without a usable line between them
 	unusableEnds  int          // consecutive EndUnusable ends, without a usable line between them
@@ -117,10 +118,19 @@
 // ReturnWindow returns the time over which the fleet spreads its reconnects after the service broke healthy watches.
 func (b *Backoff) ReturnWindow() time.Duration { return b.returnWindow }
 
+// MaxWaitAfterBreak returns the longest wait after a break while the call budget is not nearly spent.
+func (b *Backoff) MaxWaitAfterBreak() time.Duration { return b.maxWaitAfterBreak }
+
 // FirstCall returns the time of the first call, which is in this director's slot of the start window.
 func (b *Backoff) FirstCall(now routing.Time) routing.Time {
-	b.refilledAt = now
-	return b.takeToken(now, b.slot(now, b.startWindow))
+	b.lastCall = now
+	return b.withinBudget(now, b.slot(now, b.startWindow))
+}
+
+// RecordCall records that a call is made at the time now. It takes a token.
+func (b *Backoff) RecordCall(now routing.Time) {
+	b.tokens = max(0, b.tokensAt(now)-1)
+	b.lastCall = now
 }
 
 // RedirectCall returns the time of the first call to another service that a new configuration names, and resets all
@@ -134,7 +144,7 @@
 	b.unservedCalls = 0
 	b.unusableEnds = 0
 	b.usable = false
-	return b.takeToken(now, b.slot(now, b.returnWindow))
+	return b.withinBudget(now, b.slot(now, b.returnWindow))
 }
 
 // RecordUsableLine records that the current watch received a usable line at the time now. The first usable line resets
@@ -154,16 +164,16 @@
 // Failures returns the number of consecutive calls or watches that ended without a stable watch between them.
 func (b *Backoff) Failures() int { return b.failures }
 
-// NextCall returns the time of the next call after the current call, or its watch, has ended at the time now.
+// NextCall returns the time of the next call after a call, or its watch, has ended or become overdue at the time now.
 func (b *Backoff) NextCall(now routing.Time, end WatchEnd) routing.Time {
 	stable := b.usable && now-b.usableSince >= minStableTime
 	b.usable = false
 	if stable {
 		b.failures = 0
-		return b.takeToken(now, b.waitAfterStableWatch(now, end))
+		return b.withinBudget(now, b.waitAfterStableWatch(now, end))
 	}
 	b.failures++
-	return b.takeToken(now, b.waitAfterFailure(now, end))
+	return b.withinBudget(now, b.waitAfterFailure(now, end))
 }
 
 // waitAfterStableWatch returns the wait until this director's slot in the return window. After EndSilent the window is
@@ -214,7 +224,7 @@
 // received usable lines, so the service is up and not overloaded, and the missed events must be applied within the same
 // time as after a stable watch. The watch is therefore replaced within the return window if it is the first failure in
 // a row or if two or more tokens are left. Otherwise the wait is random, at least half of maxWaitWhileDown, and
-// takeToken extends it if no token is left.
+// withinBudget extends it if no token is left.
 func (b *Backoff) waitAfterShortWatch(now routing.Time) time.Duration {
 	if b.failures == 1 {
 		b.breaks++
@@ -235,7 +245,7 @@
 func (b *Backoff) waitAfterTimeout(now routing.Time) time.Duration {
 	b.unservedCalls++
 	wait := b.jitter(b.backoffWindow(b.maxWaitWhileDown, b.maxWait), 0.5)
-	latest := b.refilledAt + b.config.NotifiedAfter + b.config.ApplyPurgeWithin - b.config.CallDuration
+	latest := b.lastCall + b.config.NotifiedAfter + b.config.ApplyPurgeWithin - b.config.CallDuration
 	return max(min(wait, latest-now), b.config.MinWait)
 }
 
@@ -273,22 +283,16 @@
 
 // tokensAt returns the number of tokens in the bucket at a time, at most maxTokens.
 func (b *Backoff) tokensAt(at routing.Time) float64 {
-	return min(maxTokens, b.tokens+float64(at-b.refilledAt)/float64(b.maxWaitWhileDown))
+	return min(maxTokens, b.tokens+float64(at-b.lastCall)/float64(b.maxWaitWhileDown))
 }
 
-// takeToken takes a token for a call that is made after the wait, and returns the time of the call. The bucket gains
-// one token per maxWaitWhileDown. If no token is left, the call is postponed until the next one is added, by at most
-// maxWaitWhileDown. Once the bucket is empty, a flapping service thus receives at most one call per director in that
-// time.
-func (b *Backoff) takeToken(now routing.Time, wait time.Duration) routing.Time {
+// withinBudget returns the time of a call that is made after the wait, or when the bucket has a token for it if that is
+// later, by at most maxWaitWhileDown: the bucket gains one token per maxWaitWhileDown. Once the bucket is empty, a
+// flapping service thus receives at most one call per director in that time.
+func (b *Backoff) withinBudget(now routing.Time, wait time.Duration) routing.Time {
 	at := now + wait
-	b.tokens = b.tokensAt(at)
-	b.refilledAt = at
-	if b.tokens < 1 {
-		at += time.Duration((1 - b.tokens) * float64(b.maxWaitWhileDown))
-		b.tokens = 1
-		b.refilledAt = at
+	if tokens := b.tokensAt(at); tokens < 1 {
+		at += time.Duration((1 - tokens) * float64(b.maxWaitWhileDown))
 	}
-	b.tokens--
 	return at
 }
--- a/internal/discovery/counters.go
+++ b/internal/discovery/counters.go
@@ -7,7 +7,9 @@
 	Connects         uint64 // watches opened
 	ConnectFailures  uint64 // dials that failed
 	Disconnects      uint64 // watches closed by the service
-	SilenceTimeouts  uint64 // watches closed because no usable line was received for WatchSilenceTimeout
+	SilenceTimeouts  uint64 // times that a watch received no usable line for WatchSilenceTimeout
+	ResumedCalls     uint64 // overdue calls that brought a usable line after all
+	DiscardedCalls   uint64 // calls closed because another one had caught up, replaced them or took their place
 	Redirects        uint64 // changes of the service's address by a new configuration
 	Lines            uint64 // complete lines received
 	Events           uint64 // events applied, including those of the configuration
@@ -19,7 +21,7 @@
 	RetainedDrains   uint64 // endpoints kept draining or gone although an older list has them as ready
 }
 
-// EndCounts holds the number of calls and watches that ended in each way, indexed by WatchEnd.
+// EndCounts holds the number of times that a call or a watch ended or became overdue in each way, indexed by WatchEnd.
 type EndCounts [numWatchEnds]uint64
 
 // MarshalJSON encodes the counts as an object whose keys are the names of the ends.
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -9,39 +9,55 @@
 	"go.uber.org/zap"
 
 	"shaleyard/internal/eventloop"
+	"shaleyard/internal/timer"
+	"shaleyard/routing"
 )
 
 // watch is one call to the discovery service: a dial, and the connection that results from it.
 type watch struct {
-	watcher        *Watcher
-	conn           eventloop.Conn
-	partial        []byte // received start of an incomplete line
-	usable         bool   // a usable line has been received
-	revisionBehind bool   // the service's last heartbeat had a revision before the last applied event
-	fullResync     bool   // all events were requested, and the first one, a snapshot, has not been applied yet
+	watcher       *Watcher
+	address       string         // of the service
+	cancelDial    func()         // gives the dial up
+	conn          eventloop.Conn // nil: the dial has not succeeded yet
+	ended         bool           // the call is not in progress any more
+	overdue       bool           // the call has made no progress in time, and none since
+	progressTimer timer.Timer    // expires when the call becomes overdue
+
+	partial        []byte       // received start of an incomplete line
+	lastUsableLine routing.Time // when the last usable line was received; 0: none yet
+	revision       uint64       // revision of the last event received, or of the subscription before the first one
+	revisionBehind bool         // the service's last heartbeat had a revision before the last applied event
+	lagCounted     bool         // the service's revision was before the subscription's, and this has been counted
+	caughtUp       bool         // the last line was a heartbeat with the revision of the last applied event
+	fullResync     bool         // all events were requested, and the first one, a snapshot, has not been applied yet
+}
+
+// awaitProgress restarts the timer that makes the call overdue. When the network fails, a call receives neither lines
+// nor a close, while the service's events still count as notified.
+func (w *watch) awaitProgress() {
+	watcher := w.watcher
+	overdueAt := watcher.now() + watcher.timeForProgress(w)
+	watcher.timers.Schedule(&w.progressTimer, overdueAt, func() { watcher.handleOverdue(w) })
 }
 
-// Opened handles a successful dial: it makes this watch the active one and subscribes. The previous watch is closed, so
-// that no event is received twice or out of order.
+// Opened handles a successful dial: it subscribes. Watches of the service at another address are closed, so that no
+// event is applied after one of the service to which this director was redirected. A dial that succeeds when it is
+// overdue is in time again, but a call that is scheduled because of it is made nevertheless.
 func (w *watch) Opened(conn eventloop.Conn) {
 	watcher := w.watcher
-	if watcher.dialing != w {
+	if w.ended {
 		_ = conn.Close() // Nothing was sent on this connection, so an error of Close does not matter.
 		return
 	}
-	if previous := watcher.active; previous != nil {
-		_ = previous.conn.Close()
-	}
 	w.conn = conn
-	watcher.active = w
-	watcher.dialing = nil
-	watcher.redirecting = false
+	watcher.discardWhere(func(call *watch) bool { return call.address != w.address })
 	isFirst := !watcher.everConnected
 	watcher.everConnected = true
 	watcher.Counters.Connects++
-	watcher.resetSilenceTimer(w)
+	w.overdue = false
+	w.awaitProgress()
 	if err := w.subscribe(); err != nil {
-		watcher.endWatch(w, EndUnusable)
+		watcher.endCall(w, EndUnusable)
 	}
 	if isFirst && watcher.onFirstConnect != nil {
 		watcher.onFirstConnect()
@@ -61,6 +77,7 @@
 		w.fullResync = true
 		from = 0
 	}
+	w.revision = from
 	request := strconv.AppendUint([]byte("SUB "), from, 10)
 	request = append(request, '\n')
 	_, err := w.conn.Writev([][]byte{request})
@@ -71,40 +88,43 @@
 // is down. Any other error counts as a timeout: the service is overloaded or unreachable, and more calls would add to
 // an overload.
 func (w *watch) Failed(err error) {
+	if w.ended {
+		return
+	}
 	w.watcher.Counters.ConnectFailures++
 	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
-		w.watcher.endWatch(w, EndRefused)
+		w.watcher.endCall(w, EndRefused)
 		return
 	}
-	w.watcher.endWatch(w, EndTimedOut)
+	w.watcher.endCall(w, EndTimedOut)
 }
 
 // Closed handles the end of the connection. Events count as notified while no watch is up, so a watch that received a
 // usable line is replaced soon. The wait after a watch that received none, or closed within its first list, is longer
 // to limit the load on a broken service.
 func (w *watch) Closed() {
-	if w.watcher.active == w {
+	if !w.ended {
 		w.watcher.Counters.Disconnects++
 	}
-	w.watcher.endWatch(w, w.endOnClose())
+	w.watcher.endCall(w, w.endOnClose())
 }
 
 // endOnClose returns the WatchEnd of a watch that is closed by the service or receives an invalid line: EndBroken if
 // it had received a usable line before, EndUnusable otherwise.
 func (w *watch) endOnClose() WatchEnd {
-	if w.usable {
+	if w.lastUsableLine != 0 {
 		return EndBroken
 	}
 	return EndUnusable
 }
 
-// endOnSilence returns the WatchEnd of a watch whose silence timer expires: EndUnusable if the service's revision is
-// behind the last applied event, else EndSilent if the watch had received a usable line, else EndTimedOut.
+// endOnSilence returns the WatchEnd that stands for the cause by which a call is overdue: EndUnusable if the service's
+// revision is behind the last applied event, else EndSilent if the watch had received a usable line, else EndTimedOut.
 func (w *watch) endOnSilence() WatchEnd {
 	if w.revisionBehind {
 		return EndUnusable
 	}
-	if w.usable {
+	if w.lastUsableLine != 0 {
 		return EndSilent
 	}
 	return EndTimedOut
@@ -114,7 +134,7 @@
 // watch resumes after the last applied event.
 func (w *watch) Data(received []byte) error {
 	for len(received) > 0 {
-		if w.watcher.active != w {
+		if w.ended {
 			return errWatchReplaced
 		}
 		end := bytes.IndexByte(received, '\n')
@@ -137,6 +157,7 @@
 		w.watcher.Counters.BadLines++
 		return errLineTooLong
 	}
+	w.watcher.limitBufferedBytes(w, len(start))
 	w.partial = append(w.partial, start...)
 	return nil
 }
@@ -151,27 +172,21 @@
 	return w.partial
 }
 
-// applyLine applies a complete line and resets the silence timer. An invalid line ends the watch and is returned as an
-// error. The timer is not reset while the service's revision is behind the last applied event.
+// applyLine applies a complete line. An invalid line ends the watch and is returned as an error. A line while the
+// service's revision is behind the last applied event is not usable: the service must catch up.
 func (w *watch) applyLine(line []byte) error {
 	watcher := w.watcher
 	watcher.Counters.Lines++
 	if err := watcher.applyLine(line, w); err != nil {
 		watcher.Counters.BadLines++
 		watcher.log.Warn("invalid line from discovery service",
-			zap.String("address", watcher.address), zap.Error(err))
-		watcher.endWatch(w, w.endOnClose())
+			zap.String("address", w.address), zap.Error(err))
+		watcher.endCall(w, w.endOnClose())
 		return err
 	}
 	w.partial = w.partial[:0]
-	if w.revisionBehind { // The service must catch up before the silence timer expires.
-		return nil
-	}
-	watcher.resetSilenceTimer(w)
-	w.usable = true
-	watcher.lastUsableLine = watcher.now()
-	if !watcher.redirecting { // Lines of the old service are no evidence about the new one.
-		watcher.backoff.RecordUsableLine(watcher.now())
+	if !w.revisionBehind {
+		watcher.recordUsableLine(w)
 	}
 	return nil
 }
--- a/internal/discovery/watch_end.go
+++ b/internal/discovery/watch_end.go
@@ -1,6 +1,7 @@
 package discovery
 
-// WatchEnd represents the way in which a call to the discovery service, or the resulting watch, ended.
+// WatchEnd represents the way in which a call to the discovery service, or the resulting watch, ended or became
+// overdue, so that the service is called again.
 type WatchEnd uint8
 
 // The ends differ in the load that the call put on the service and in whether events may have been missed. Both
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -46,7 +47,7 @@
 	OnFirstConnect func()
 }
 
-// Watcher maintains a watch of one discovery service.
+// Watcher maintains a watch of one discovery service. While calls are overdue, it has several calls in progress.
 type Watcher struct {
 	Counters Counters
 
@@ -73,12 +74,10 @@
 
 	// State of the calls to the service.
 	backoff        *Backoff
-	dialTime       routing.Time // time of the latest call, or of the next call if it is scheduled
-	active         *watch       // the open watch whose events are applied; nil: none
-	dialing        *watch       // the watch that is being dialled; nil: none
+	calls          []*watch     // calls in progress, oldest first; at most MaxWatchCalls
+	lastDial       routing.Time // time of the latest call; 0: none yet
+	nextDial       routing.Time // time of the next call, if redialTimer is pending
 	pendingAddress string       // address to which the next dial switches; "": none
-	redirecting    bool         // a new address has been dialled, and its watch is not up yet
-	silenceTimer   timer.Timer  // ends the active watch when it expires
 	redialTimer    timer.Timer  // starts the next dial when it expires
 }
 
@@ -116,10 +115,17 @@
 }
 
 // DialTime returns the time of the latest call, or of the next call if it is scheduled.
-func (w *Watcher) DialTime() routing.Time { return w.dialTime }
+func (w *Watcher) DialTime() routing.Time {
+	if w.redialTimer.Pending() {
+		return w.nextDial
+	}
+	return w.lastDial
+}
 
-// Connected reports whether a watch is open.
-func (w *Watcher) Connected() bool { return w.active != nil }
+// Connected reports whether a watch is open and not overdue.
+func (w *Watcher) Connected() bool {
+	return slices.ContainsFunc(w.calls, func(call *watch) bool { return call.conn != nil && !call.overdue })
+}
 
 // EverConnected reports whether a watch has been opened since the start, so that the endpoint list has been received or
 // is being received. A director that has lost its watch continues with the list that it has.
@@ -129,48 +135,6 @@
 // was applied or ignored without an error and the service's revision is not behind the last applied event.
 func (w *Watcher) LastUsableLine() routing.Time { return w.lastUsableLine }
 
-// scheduleDial schedules the next dial, in place of one that is scheduled already.
-func (w *Watcher) scheduleDial(at routing.Time) {
-	w.dialTime = at
-	w.timers.Schedule(&w.redialTimer, at, w.dial)
-}
-
-// dial starts to dial a new watch, at the new address if one is pending. After a redirect the active watch stays up
-// until the new one is open, because its events count as notified and the new service may be down or slow.
-func (w *Watcher) dial() {
-	if w.pendingAddress != "" {
-		w.address = w.pendingAddress
-		w.pendingAddress = ""
-		w.redirecting = true
-	}
-	w.dialing = &watch{watcher: w}
-	w.dialer.Dial(w.address, w.limits.ConnectTimeout, w.dialing)
-}
-
-// endWatch ends the active watch, or a failed dial, and schedules the next call. If the active watch ends while the
-// next one is being dialled, no further call is scheduled. A watch that has already ended or been replaced is ignored.
-func (w *Watcher) endWatch(ended *watch, end WatchEnd) {
-	switch ended {
-	case w.active:
-		w.active = nil
-		w.timers.Cancel(&w.silenceTimer)
-		_ = ended.conn.Close() // The watch has ended, so an error of Close does not matter.
-	case w.dialing:
-		w.dialing = nil
-	default:
-		return
-	}
-	w.Counters.WatchEnds[end]++
-	if w.dialing != nil {
-		return
-	}
-	now := w.now()
-	at := w.backoff.NextCall(now, end)
-	w.log.Info("discovery watch ended", zap.String("address", w.address), zap.Stringer("cause", end),
-		zap.Duration("retry_in", at-now), zap.Uint64("revision", w.revision), zap.Int("failures", w.backoff.Failures()))
-	w.scheduleDial(at)
-}
-
 // Redirect switches to the service at another address and resumes after the last applied event. All directors are
 // redirected at once, so each one calls the new address in its own slot and keeps its current watch until then. A call
 // that is already scheduled for an earlier time is made at that time, to the new address. Repeated redirects therefore
@@ -187,24 +151,17 @@
 	}
 	at := w.backoff.RedirectCall(w.now())
 	if w.redialTimer.Pending() {
-		at = min(at, w.dialTime)
+		at = min(at, w.nextDial)
 	}
 	w.scheduleDial(at)
 }
 
-// HandlePause restarts the silence timer after a pause of the process, during which the process could not read received
-// lines.
+// HandlePause gives all calls that are in time their time anew after a pause of the process, during which the process
+// could not read received lines.
 func (w *Watcher) HandlePause() {
-	if w.Connected() {
-		w.resetSilenceTimer(w.active)
+	for _, call := range w.calls {
+		if !call.overdue {
+			call.awaitProgress()
+		}
 	}
 }
-
-// resetSilenceTimer restarts the timer that ends the watch after WatchSilenceTimeout without a usable line. When the
-// network fails, a watch receives neither lines nor a close, while the service's events still count as notified.
-func (w *Watcher) resetSilenceTimer(source *watch) {
-	w.timers.Schedule(&w.silenceTimer, w.now()+w.limits.WatchSilenceTimeout, func() {
-		w.Counters.SilenceTimeouts++
-		w.endWatch(source, source.endOnSilence())
-	})
-}
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -51,9 +51,10 @@
 	Failed(error)
 }
 
-// Dialer opens connections without blocking the loop. A dial that takes longer than the limit fails.
+// Dialer opens connections without blocking the loop. A dial that takes longer than the limit fails. The result of Dial
+// gives the dial up, so that it fails at once; it has no effect on a dial that has succeeded or failed.
 type Dialer interface {
-	Dial(address string, limit time.Duration, s Stream)
+	Dial(address string, limit time.Duration, s Stream) (cancel func())
 }
 
 // Acceptor handles accepted connections. Accept returns the session of a connection, or nil to
--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -22,16 +22,20 @@
 
 // Dial implements Dialer. It connects on a goroutine of its own, within the timeout, and calls Opened or Failed of the
 // stream on the loop.
-func (l *Loop) Dial(address string, timeout time.Duration, s Stream) {
+func (l *Loop) Dial(address string, timeout time.Duration, s Stream) (cancel func()) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	go func() {
-		if err := l.dial(address, timeout, s); err != nil {
+		defer cancel()
+		if err := l.dial(ctx, address, s); err != nil {
 			l.Do(func() { s.Failed(err) })
 		}
 	}()
+	return cancel
 }
 
-func (l *Loop) dial(address string, timeout time.Duration, s Stream) error {
-	conn, err := net.DialTimeout("tcp", address, timeout)
+func (l *Loop) dial(ctx context.Context, address string, s Stream) error {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
