Call discovery again soon after breaks of watches that brought nothing

Cause: the second watch in a row that ended without a usable line led to a wait of 0.75 to 1.5 s even if the budget of calls was untouched.

Change: while two calls are left in the budget, the wait is 0.2 to 0.4 s, as after other breaks. A service whose revision stays behind keeps the longer waits, so that it has time to catch up: it has a cause of its own, EndBehind (counter and log: "behind"; it was counted as "unusable").

Result: TestWatchesClosedWithoutLineAreReplacedWithinBudget fails without the change and passes. The budget of calls is as it was.

--- a/internal/discovery/backoff.go
+++ b/internal/discovery/backoff.go
@@ -90,7 +90,7 @@
 	lastCall      routing.Time // time of the latest call; before the first one, of FirstCall
 	failures      int          // consecutive calls or watches that ended, without a stable watch between them
 	unservedCalls int          // consecutive calls that were refused or timed out, without a usable line between them
-	unusableEnds  int          // consecutive EndUnusable ends, without a usable line between them
+	unusableEnds  int          // consecutive EndUnusable and EndBehind ends, without a usable line between them
 	breaks        int          // number of moves of this director's slot in the window, see slot
 	usableSince   routing.Time // time of the current watch's first usable line
 	usable        bool         // the current watch has received a usable line
@@ -194,7 +194,9 @@
 	case EndRefused:
 		return b.waitAfterRefusal()
 	case EndUnusable:
-		return b.waitAfterUnusable()
+		return b.waitAfterUnusable(now)
+	case EndBehind:
+		return b.waitAfterLag()
 	case EndBroken, EndSilent:
 		return b.waitAfterShortWatch(now)
 	default:
@@ -209,10 +211,21 @@
 	return b.jitter(b.backoffWindow(b.maxWaitWhileDown/4, b.maxWaitWhileDown), 0)
 }
 
-// waitAfterUnusable returns a random wait of half to all of maxWaitAfterBreak after the first EndUnusable in a row, and
-// of half to all of maxWaitWhileDown after the following ones. The first wait is short because a watch that breaks
-// within its first event also ends as EndUnusable.
-func (b *Backoff) waitAfterUnusable() time.Duration {
+// waitAfterUnusable returns a random wait of half to all of maxWaitAfterBreak after the first EndUnusable or EndBehind
+// in a row, or if two or more tokens are left, and of half to all of maxWaitWhileDown otherwise. A watch that breaks
+// within its first event, or while the service is stopped, also ends as EndUnusable, and the missed events must be
+// applied within the same time as after a stable watch.
+func (b *Backoff) waitAfterUnusable(now routing.Time) time.Duration {
+	b.unusableEnds++
+	if b.unusableEnds == 1 || b.tokensAt(now) >= 2 {
+		return b.jitter(b.maxWaitAfterBreak, 0.5)
+	}
+	return b.jitter(b.maxWaitWhileDown, 0.5)
+}
+
+// waitAfterLag returns a random wait of half to all of maxWaitAfterBreak after the first EndUnusable or EndBehind in a
+// row, and of half to all of maxWaitWhileDown after the following ones, so that a lagging service has time to catch up.
+func (b *Backoff) waitAfterLag() time.Duration {
 	b.unusableEnds++
 	if b.unusableEnds == 1 {
 		return b.jitter(b.maxWaitAfterBreak, 0.5)
--- a/internal/discovery/backoff_test.go
+++ b/internal/discovery/backoff_test.go
@@ -160,8 +160,13 @@
 		t.Errorf("timed out: got mean waits %v, %v and later %v, want at least 700ms, 1.5 times the first, and 4s",
 			first, second, late)
 	}
-	if late := meanWait(EndUnusable, 8); late < 1000*time.Millisecond || late > 1600*time.Millisecond {
-		t.Errorf("unusable: got a later mean wait of %v, want 1s to 1.6s", late)
+	for _, end := range []WatchEnd{EndUnusable, EndBehind} {
+		if late := meanWait(end, 8); late < 1000*time.Millisecond || late > 1600*time.Millisecond {
+			t.Errorf("%v: got a later mean wait of %v, want 1s to 1.6s", end, late)
+		}
+	}
+	if second := meanWait(EndBehind, 2); second < 1000*time.Millisecond {
+		t.Errorf("behind: got a second mean wait of %v, want at least 1s", second)
 	}
 }
 
@@ -193,7 +198,7 @@
 				now += served
 				backoff.RecordUsableLine(now)
 			}
-			end := WatchEnd(rapid.IntRange(0, int(EndSilent)).Draw(t, "end"))
+			end := WatchEnd(rapid.IntRange(0, numWatchEnds-1).Draw(t, "end"))
 			if rapid.IntRange(0, 9).Draw(t, "redirected") == 0 {
 				due = backoff.RedirectCall(now)
 			} else {
@@ -294,6 +299,38 @@
 	}
 }
 
+// Purged copies were served after a service that was stopped closed its watches twice: the second call had brought
+// nothing, and the wait after it was 0.75 to 1.5 s although the service was well again. Such watches are replaced as
+// soon as others that break, while two calls are left in the budget.
+func TestWatchesClosedWithoutLineAreReplacedWithinBudget(t *testing.T) {
+	for _, directors := range []int{1, 12, 300} {
+		for seed := range uint64(50) {
+			backoff := NewBackoff(platformConfig(directors, int(seed)%directors), seed)
+			now := backoff.FirstCall(1000 * time.Second)
+			const ends = 40
+			calls := make([]routing.Time, 0, ends)
+			for i := range ends {
+				backoff.RecordCall(now)
+				calls = append(calls, now)
+				now += 20 * time.Millisecond
+				next := backoff.NextCall(now, EndUnusable)
+				wait, least, most := next-now, 750*time.Millisecond, 1500*time.Millisecond
+				if i < maxTokens-2 {
+					least, most = 200*time.Millisecond, 400*time.Millisecond
+				}
+				if wait < least || wait > most {
+					t.Errorf("%d directors, seed %d: got a wait of %v after watch %d without a line, want %v to %v",
+						directors, seed, wait, i+1, least, most)
+				}
+				now = next
+			}
+			if err := checkBudget(calls, maxTokens); err != nil {
+				t.Fatalf("%d directors, seed %d: %v", directors, seed, err)
+			}
+		}
+	}
+}
+
 // If the short watches of a whole fleet break at the same moment, twice in a row, the reconnects are evenly spread each
 // time.
 func TestFleetSpreadsReconnectsToFlappingService(t *testing.T) {
--- a/internal/discovery/errors_test.go
+++ b/internal/discovery/errors_test.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := `{"broken":4,"refused":1,"silent":5,"timed out":2,"unusable":3}`
+	want := `{"behind":6,"broken":4,"refused":1,"silent":5,"timed out":2,"unusable":3}`
 	if string(text) != want {
 		t.Errorf("got %s, want %s", text, want)
 	}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -118,11 +118,11 @@
 	return EndUnusable
 }
 
-// endOnSilence returns the WatchEnd that stands for the cause by which a call is overdue: EndUnusable if the service's
+// endOnSilence returns the WatchEnd that stands for the cause by which a call is overdue: EndBehind if the service's
 // revision is behind the last applied event, else EndSilent if the watch had received a usable line, else EndTimedOut.
 func (w *watch) endOnSilence() WatchEnd {
 	if w.revisionBehind {
-		return EndUnusable
+		return EndBehind
 	}
 	if w.lastUsableLine != 0 {
 		return EndSilent
--- a/internal/discovery/watch_end.go
+++ b/internal/discovery/watch_end.go
@@ -13,8 +13,8 @@
 	// EndTimedOut means that no connection was established in time, or that no usable line was received on it in time.
 	// The service is most likely overloaded, and each further call adds to the overload.
 	EndTimedOut
-	// EndUnusable means that the watch failed or was closed before its first usable line, or that the service's
-	// revision stayed behind the last applied event. An immediate call would most likely fail in the same way.
+	// EndUnusable means that the watch failed or was closed before its first usable line. An immediate call may fail in
+	// the same way.
 	EndUnusable
 	// EndBroken means that a watch that had received usable lines was closed or received an invalid line. The director
 	// misses events from then on.
@@ -22,11 +22,14 @@
 	// EndSilent means that a watch that had received usable lines received none for BackoffConfig.SilenceTimeout. That
 	// time counts toward the time within which events must be applied.
 	EndSilent
+	// EndBehind means that the service's revision stayed behind the last applied event. The service needs time to catch
+	// up.
+	EndBehind
 
 	numWatchEnds = iota
 )
 
 // String returns the name of the end that logs and counters use.
 func (e WatchEnd) String() string {
-	return [...]string{"refused", "timed out", "unusable", "broken", "silent"}[e]
+	return [...]string{"refused", "timed out", "unusable", "broken", "silent", "behind"}[e]
 }
