--- a/internal/discovery/calls.go
+++ b/internal/discovery/calls.go
@@ -39,6 +39,7 @@
 	call := &watch{watcher: w, address: w.address}
 	w.calls = append(w.calls, call)
 	call.awaitProgress()
+	// The dial may take longer than the time after which it is overdue, as the service may have a full backlog.
 	call.cancelDial = w.dialer.Dial(w.address, w.limits.MaxEventDelay, call)
 }
 
--- a/internal/discovery/resync_test.go
+++ b/internal/discovery/resync_test.go
@@ -70,3 +70,27 @@
 		t.Errorf("got %d dials, connected %v, want 2, true", len(h.dials), h.watcher.Connected())
 	}
 }
+
+// A lagging replica that catches up when its watch is overdue, and has been called again, brings the missing events.
+func TestLaggingCallMayCatchUpLater(t *testing.T) {
+	h := startedHarness(t, 1)
+	h.open()
+	h.receive(t, 0, readyLine+"\n")
+	h.dials[0].Closed()
+	h.advance(1500 * time.Millisecond)
+	h.open()
+	h.receive(t, 1, "0\n")
+	for len(h.dials) == 2 { // until the next call
+		h.advance(10 * time.Millisecond)
+	}
+	h.open()
+	h.receive(t, 2, "0\n")
+	h.receive(t, 1, "1\n"+drainingLine+"\n2\n")
+	if h.watcher.revision != 2 || h.dials[1].ended || !h.dials[2].ended {
+		t.Errorf("got last applied revision %d, the first watch ended %v, the second %v, want 2, false, true",
+			h.watcher.revision, h.dials[1].ended, h.dials[2].ended)
+	}
+	if behind := h.watcher.watchesBehind; behind != 0 {
+		t.Errorf("got %d consecutive watches behind, want 0", behind)
+	}
+}
