--- a/internal/discovery/deadline_checker_test.go
+++ b/internal/discovery/deadline_checker_test.go
@@ -35,9 +35,8 @@
 	interpretationCount // number of interpretations; the length of arrays that are indexed by interpretation
 )
 
-// String returns the name of the interpretation in the output of the tests. docs/lifecycles.md calls the four
-// interpretations fresh, first, ask and 7 s.
-func (i interpretation) String() string { return [...]string{"fresh", "first", "strict", "late"}[i] }
+// String returns the name of the interpretation in the output of the tests and in docs/lifecycles.md.
+func (i interpretation) String() string { return [...]string{"fresh", "first", "ask", "7 s"}[i] }
 
 // missedPurge is a purge that no watch sent when it was published.
 type missedPurge struct {
