Bound separately what a spent budget of calls costs in the test of outages

Cause, from its trace: four breaks within one stop, 0.3 to 1 s apart, had spent the budget, so that the fifth call came 0.95 s after the last break. The budget is what the price allows, and docs/lifecycles.md says so; the test did not. By the page, 2 s after the last break, the event was in time.

Change: where a break finds fewer than two calls left, the event may be late by the time in which the budget gains one (1.5 s), which was not bounded before. Elsewhere the check is as it was.

--- a/internal/discovery/outages_test.go
+++ b/internal/discovery/outages_test.go
@@ -83,6 +83,7 @@
 	resumption  resumption
 	notifyAt    routing.Time // when events missed because of the outage's faults so far count as notified; 0: no fault
 	wellSince   routing.Time
+	budgetSpent bool // after a break of the outage, fewer calls were left in the budget than make the next one soon
 	history     []historyEntry
 }
 
@@ -218,6 +219,8 @@
 			conn.watch.Closed()
 		}
 	}
+	const tokensForSoonCall = 2
+	s.budgetSpent = s.budgetSpent || s.watcher.backoff.tokensAt(s.now) < tokensForSoonCall
 }
 
 // recordFault records a fault: events that are missed because of it count as notified after the grace time.
@@ -245,6 +248,7 @@
 	s.notifyAt = 0
 	s.advance(stableTime + s.randomUpTo(time.Second))
 	s.history = nil
+	s.budgetSpent = false
 	s.wellSince = s.now
 	s.resumption = resumption(s.rng.IntN(int(resumptionCount)))
 	first := len(s.events)
@@ -280,7 +284,8 @@
 }
 
 // check returns an error if an event was applied later than the service sent it on any connection that it had taken, or
-// if it was applied too late although the service had been well for reconnectTime and sent on all connections.
+// if it was applied too late although the service had been well for reconnectTime and sent on all connections. If the
+// budget of calls was spent, it may be late by the time in which one call is added.
 func (s *outageService) check(events []*publishedEvent) error {
 	for _, event := range events {
 		if event.applied == 0 {
@@ -291,6 +296,9 @@
 				event.sent, event.applied)
 		}
 		deadline := min(event.notified, event.published+notifiedAtLatest) + applyPurgeTime
+		if s.budgetSpent {
+			deadline += tokenInterval
+		}
 		if s.resumption == resumesAll && event.applied > deadline && s.wellSince+reconnectTime <= deadline {
 			return fmt.Errorf("an event published at %v was applied at %v, want %v at the latest, as the service was "+
 				"well from %v on", event.published, event.applied, deadline, s.wellSince)
@@ -302,9 +310,11 @@
 // The service stops while its connections stay open, breaks them, and resumes, in any order and for any time. It
 // resumes on all connections that it has taken, or only on those from before or from within the stop. An event is
 // applied as soon as the service sends it on any of them: none is missed because the director closed a connection or
-// waited. If the service is well again before an event must be applied, the director has called it by then. A call on
-// which nothing comes is no stop of its own, and a fault does not postpone what was published before it.
+// waited. If the service is well again before an event must be applied, the director has called it by then, unless the
+// budget of calls is spent. A call on which nothing comes is no stop of its own, and a fault does not postpone what was
+// published before it.
 func TestOutagesDelayNoEvent(t *testing.T) {
+	outages, spent := 0, 0
 	for _, directors := range []int{1, 12, 300} {
 		for seed := range uint64(*outageRuns) {
 			service := newOutageService(directors, seed)
@@ -312,6 +322,10 @@
 				if err := service.check(service.runOutage()); err != nil {
 					t.Fatalf("%d directors, seed %d: %v:%s", directors, seed, err, formatHistory(service.history))
 				}
+				outages++
+				if service.budgetSpent {
+					spent++
+				}
 				for _, conn := range service.connections {
 					if !conn.directorLeft && conn.watch.overdue {
 						t.Fatalf("%d directors, seed %d: a watch is overdue after the outage:%s", directors, seed,
@@ -321,4 +335,8 @@
 			}
 		}
 	}
+	t.Logf("the budget was spent in %d of %d outages", spent, outages)
+	if spent > outages/20 {
+		t.Errorf("got a spent budget in %d of %d outages, want one in 20 at most", spent, outages)
+	}
 }
