Bound the calls in drawn stops of discovery by what the waits allow

Cause: the bound (four calls of each director and one in 1.5 s) could not fail at a silent service, which gets one call in 1.3 s at most anyway.

Change: one call at the start, three in each stop of up to 9 s, as the waits after time-outs grow, and one for each break.

--- a/internal/testbed/stops_test.go
+++ b/internal/testbed/stops_test.go
@@ -22,9 +22,10 @@
 	maxBreaksInStop        = 2
 	purgesPerSecond        = 10
 
-	minOldCopies   = 100.0 // attempts answered from purged copies, so that a run shows something
-	callBurst      = 4.0   // calls that a director may make at any time
-	secondsPerCall = 1.5   // in which a director may make one further call
+	minOldCopies = 100.0 // attempts answered from purged copies, so that a run shows something
+	// callsPerStop is the largest number of calls of a director during a stop of up to maxStop without breaks, as the
+	// waits after calls that time out grow. Each break adds one call at most.
+	callsPerStop = 3
 )
 
 // drawStops returns fault events that stop the discovery service at random times and for random lengths, with up to
@@ -53,10 +54,18 @@
 }
 
 // stopBounds returns the bounds of a run of drawn stops: enough old copies to show that the rule was at stake, and the
-// call budget of all directors.
+// largest number of calls of all directors, each of which makes one at its start.
 func stopBounds(experiment *Experiment) []Bound {
-	minCopies := minOldCopies
-	maxCalls := float64(experiment.Directors) * (callBurst + experiment.Seconds/secondsPerCall)
+	callsOfEach := 1
+	for _, event := range experiment.FaultEvents {
+		switch event.Action {
+		case "list-stop":
+			callsOfEach += callsPerStop
+		case "list-break":
+			callsOfEach++
+		}
+	}
+	minCopies, maxCalls := minOldCopies, float64(experiment.Directors*callsOfEach)
 	return []Bound{{Metric: "old_copies", Min: &minCopies}, {Metric: "list_calls", Max: &maxCalls}}
 }
 
